Add base types, supervision, telemetry and guarded HTTP modules (empty-body case under study)

The folders, core types and the supervisor tree set the shape of the code base. HTTP goes through Qt with guards against its resends, its limit of six connections, unordered pipelined answers, unlimited requests and two body lengths.

--- /dev/null
+++ b/src/base/ids.h
@@ -0,0 +1,49 @@
+#ifndef CITRONFERRY_BASE_IDS_H_
+#define CITRONFERRY_BASE_IDS_H_
+
+#include <compare>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace citronferry {
+
+/// A string identifier that does not convert to identifiers of another kind.
+template <typename Tag>
+class StrongId {
+ public:
+  StrongId() = default;
+  explicit StrongId(std::string_view value) : m_value(value) {}
+
+  std::string_view view() const { return m_value; }
+  const std::string& str() const { return m_value; }
+  bool empty() const { return m_value.empty(); }
+
+  friend auto operator<=>(const StrongId&, const StrongId&) = default;
+
+ private:
+  std::string m_value;
+};
+
+using InstanceId = StrongId<struct InstanceIdTag>;
+using PoolName = StrongId<struct PoolNameTag>;
+using ServiceName = StrongId<struct ServiceNameTag>;
+using QueueName = StrongId<struct QueueNameTag>;
+using TeamName = StrongId<struct TeamNameTag>;
+using EntryId = StrongId<struct EntryIdTag>;
+using RackName = StrongId<struct RackNameTag>;
+using DataCentreName = StrongId<struct DataCentreNameTag>;
+using RequestKey = StrongId<struct RequestKeyTag>;
+using JobId = StrongId<struct JobIdTag>;
+
+}  // namespace citronferry
+
+template <typename Tag>
+struct std::hash<citronferry::StrongId<Tag>> {
+  size_t operator()(const citronferry::StrongId<Tag>& id) const noexcept {
+    return std::hash<std::string_view>{}(id.view());
+  }
+};
+
+#endif  // CITRONFERRY_BASE_IDS_H_
--- /dev/null
+++ b/src/http/internal/request_meter.h
@@ -0,0 +1,36 @@
+#ifndef CITRONFERRY_HTTP_INTERNAL_REQUEST_METER_H_
+#define CITRONFERRY_HTTP_INTERNAL_REQUEST_METER_H_
+
+#include <QByteArray>
+#include <QTcpSocket>
+
+#include "http/server.h"
+
+namespace citronferry::http {
+
+/// Counts the bytes of each request on a socket and cuts requests that exceed the limits.
+/// QAbstractHttpServer itself accepts bodies and headers of any size.
+class RequestMeter {
+ public:
+  /// @param socket must not be connected to a parser yet, since the meter has to see the bytes
+  /// first.
+  RequestMeter(QTcpSocket& socket, const ServerLimits& limits);
+
+  /// Starts counting the next request.
+  void Reset();
+
+ private:
+  void InspectReceived();
+  void Reject(const char* status_line);
+
+  QTcpSocket& m_socket;
+  ServerLimits m_limits;
+  qint64 m_received = 0;
+  QByteArray m_header;  // Start of the request until its header block is complete.
+  bool m_header_complete = false;
+  bool m_rejected = false;
+};
+
+}  // namespace citronferry::http
+
+#endif  // CITRONFERRY_HTTP_INTERNAL_REQUEST_METER_H_
--- /dev/null
+++ b/src/http/tests/client_test.cc
@@ -0,0 +1,128 @@
+#include "http/client.h"
+
+#include <gtest/gtest.h>
+
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include "http/server.h"
+#include "supervision/testing/event_loop.h"
+
+namespace citronferry::http {
+namespace {
+
+/// Counts requests and closes each connection before it answers.
+class DroppingServer {
+ public:
+  DroppingServer() {
+    m_server.listen(QHostAddress::LocalHost);
+    QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] {
+      QTcpSocket* socket = m_server.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+        if (!socket->readAll().contains("\r\n\r\n")) return;
+        ++m_executed;
+        socket->abort();
+      });
+    });
+  }
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(m_server.serverPort()) + "/execute/tally";
+  }
+  int executed() const { return m_executed; }
+
+ private:
+  QTcpServer m_server;
+  int m_executed = 0;
+};
+
+class ClientTest : public ::testing::Test {
+ protected:
+  ClientTest() { TestApplication(); }
+
+  void Send(Client& client, ClientRequest request) {
+    m_tasks.Spawn([this, &client, request]() -> QCoro::Task<void> {
+      m_results.push_back(co_await client.Send(request));
+    });
+  }
+  bool WaitForResults(size_t count) {
+    return ProcessEventsUntil([&] { return m_results.size() == count && m_tasks.running() == 0; });
+  }
+
+  std::unique_ptr<TimerService> m_timers = MakeQtTimerService();
+  TaskScope m_tasks;
+  std::vector<RetVal<Response>> m_results;
+};
+
+// Guards against QNetworkAccessManager repeating a POST after a closed connection: a tally would
+// run several times. The empty body needs the explicit Content-Length.
+TEST_F(ClientTest, NonIdempotentRequestIsExecutedOnceWhenTheServerDropsConnections) {
+  for (const char* body : {"tally", ""}) {
+    DroppingServer server;
+    Client client;
+    m_results.clear();
+    constexpr int kRequests = 500;
+    constexpr int kBatch = 10;
+    for (int sent = 0; sent < kRequests; sent += kBatch) {
+      for (int i = 0; i < kBatch; ++i) {
+        Send(client, {.method = "POST", .url = server.url(), .body = body, .timeout = 5s});
+      }
+      ASSERT_TRUE(WaitForResults(static_cast<size_t>(sent + kBatch)));
+    }
+    EXPECT_EQ(server.executed(), kRequests) << "body '" << body << "'";
+    for (const auto& result : m_results) {
+      EXPECT_EQ(result.code(), ErrorCode::kUnknownOutcome);
+    }
+  }
+}
+
+// Guards against reporting a request as possibly run when no connection was made.
+TEST_F(ClientTest, RefusedConnectionIsReportedAsNotSent) {
+  QTcpServer unused;
+  unused.listen(QHostAddress::LocalHost);
+  const std::string url = "http://127.0.0.1:" + std::to_string(unused.serverPort()) + "/";
+  unused.close();
+  Client client;
+  Send(client, {.method = "POST", .url = url});
+  ASSERT_TRUE(WaitForResults(1));
+  EXPECT_EQ(m_results[0].code(), ErrorCode::kUnavailable);
+}
+
+// Guards against host names, which entry instances have no resolver for.
+TEST_F(ClientTest, HostNamesAreRefused) {
+  Client client;
+  Send(client, {.method = "GET", .url = "http://localhost:1/"});
+  ASSERT_TRUE(WaitForResults(1));
+  EXPECT_EQ(m_results[0].code(), ErrorCode::kInvalidArgument);
+}
+
+// Guards against the limit of six connections to one server in QNetworkAccessManager: an executor
+// has 8 slots, so eight requests must be open at the same time.
+TEST_F(ClientTest, MoreThanSixRequestsToOneServerAreOpenAtOnce) {
+  size_t open = 0;
+  Mailbox<int> release;
+  std::vector<std::unique_ptr<OneShot<int>>> gates;
+  Server server(*m_timers, {.address = QHostAddress(QHostAddress::LocalHost)},
+                [&](Request) -> QCoro::Task<Response> {
+                  ++open;
+                  gates.push_back(std::make_unique<OneShot<int>>());
+                  co_await gates.back()->Wait();
+                  co_return Response{.body = "done"};
+                });
+  ASSERT_TRUE(server.Listen().ok());
+  m_tasks.Spawn([&]() -> QCoro::Task<void> { static_cast<void>(co_await server.Run()); });
+  Client client;
+  constexpr size_t kSlots = 8;
+  for (size_t i = 0; i < kSlots; ++i) {
+    Send(client, {.method = "POST",
+                  .url = "http://127.0.0.1:" + std::to_string(server.port()) + "/",
+                  .timeout = 20s});
+  }
+  EXPECT_TRUE(ProcessEventsUntil([&] { return open == kSlots; })) << open;
+  for (const auto& gate : gates) gate->Set(0);
+  EXPECT_TRUE(ProcessEventsUntil([&] { return m_results.size() == kSlots; }));
+  server.Stop();
+  EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
+}
+
+}  // namespace
+}  // namespace citronferry::http
