Give each non-idempotent HTTP request a connection of its own

Cause: 1,000 POSTs against a server that drops each connection before it answers were never run twice, but with 10 at a time only 400 of 500 empty ones (168 to 199 of 200 in other batches) were run at all; the others ended as unknown. Ruled out: the upload device (bodies of 5 bytes lost requests as well, 99 of 100) and sequential use (batches of 1 lost none). Qt assigns requests to any channel of the same host, also to one that is closing. Change: a unique peer verify name is part of Qt's connection key and isolates the request. After: 1,000 of 1,000 executed once, with and without a body. With TLS, lanes of one request take its place.

--- a/src/http/internal/client.cc
+++ b/src/http/internal/client.cc
@@ -33,6 +33,19 @@
          error == QNetworkReply::SslHandshakeFailedError;
 }
 
+// Qt hands a request to any idle or closing connection of its host. When a server closes
+// connections before it answers, up to a fifth of the other requests then end with an unknown
+// outcome although they were never sent. The peer name is a part of the key under which Qt keeps
+// connections, so a unique name gives the request a connection of its own. With TLS the name is
+// verified and has to stay, so there the lanes carry one request at a time instead.
+void UseOwnConnection(QNetworkRequest& request) {
+  request.setRawHeader("Connection", "close");
+  if (request.url().scheme() == QStringLiteral("https")) return;
+  static quint64 next_connection = 0;
+  request.setPeerVerifyName(QString::number(++next_connection));
+  request.setAttribute(QNetworkRequest::ConnectionCacheExpiryTimeoutSecondsAttribute, 1);
+}
+
 QNetworkRequest BuildRequest(const ClientRequest& request, const ClientOptions& options) {
   QNetworkRequest built{QUrl(QString::fromStdString(request.url), QUrl::StrictMode)};
   // Keeps Qt from asking for compression and from decompressing the caller's answer.
@@ -48,8 +61,8 @@
   built.setAttribute(QNetworkRequest::CacheLoadControlAttribute, QNetworkRequest::AlwaysNetwork);
   built.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
   built.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
-  if (request.idempotency == Idempotency::kNonIdempotent) built.setRawHeader("Connection", "close");
   if (options.tls) built.setSslConfiguration(*options.tls);
+  if (request.idempotency == Idempotency::kNonIdempotent) UseOwnConnection(built);
   return built;
 }
 
@@ -95,13 +108,15 @@
 }
 
 Client::Lane* Client::AcquireLane(const std::string& authority, Idempotency idempotency) {
+  const int capacity =
+      m_options.tls && idempotency == Idempotency::kNonIdempotent ? 1 : kConnectionsPerManager;
   size_t total = 0;
   Lane* free_lane = nullptr;
   for (const auto& lane : m_lanes) {
     const auto found = lane->in_flight.find(authority);
     const int in_flight = found == lane->in_flight.end() ? 0 : found->second;
     total += static_cast<size_t>(in_flight);
-    if (!free_lane && lane->idempotency == idempotency && in_flight < kConnectionsPerManager) {
+    if (!free_lane && lane->idempotency == idempotency && in_flight < capacity) {
       free_lane = lane.get();
     }
   }
--- a/src/http/tests/client_test.cc
+++ b/src/http/tests/client_test.cc
@@ -54,14 +54,15 @@
 };
 
 // Guards against QNetworkAccessManager repeating a POST after a closed connection: a tally would
-// run several times. The empty body needs the explicit Content-Length.
+// run several times. The empty body needs the explicit Content-Length, and each request needs a
+// connection of its own, or else some are reported as unknown although they were never sent.
 TEST_F(ClientTest, NonIdempotentRequestIsExecutedOnceWhenTheServerDropsConnections) {
   for (const char* body : {"tally", ""}) {
     DroppingServer server;
     Client client;
     m_results.clear();
-    constexpr int kRequests = 500;
-    constexpr int kBatch = 10;
+    constexpr int kRequests = 1000;
+    constexpr int kBatch = 20;
     for (int sent = 0; sent < kRequests; sent += kBatch) {
       for (int i = 0; i < kBatch; ++i) {
         Send(client, {.method = "POST", .url = server.url(), .body = body, .timeout = 5s});
@@ -70,7 +71,7 @@
     }
     EXPECT_EQ(server.executed(), kRequests) << "body '" << body << "'";
     for (const auto& result : m_results) {
-      EXPECT_EQ(result.code(), ErrorCode::kUnknownOutcome);
+      EXPECT_EQ(result.code(), ErrorCode::kUnknownOutcome) << result.ret().message();
     }
   }
 }
