Serve requests end to end: caller, entry, executor, platform stand-in

The thin whole path in its final shape: a supervisor tree with the configuration watcher, fleet watcher, roster, gateway and admin listener; pure dispatch decisions; platform clients with conditional writes; stand-ins for the platform and backend servers with switches for outage, delay, lost answers and silence.

Cause of two crashes on the first poll: g++ 12 destroys aggregates twice that are built inside a co_await expression, and mishandles co_await in ?:. Ruled out with AddressSanitizer: lifetime of the platform client and of the task scopes. Change: arguments of awaited calls are named locals.

--- /dev/null
+++ b/src/decisions/dispatch/types.h
@@ -0,0 +1,125 @@
+#ifndef CITRONFERRY_DECISIONS_DISPATCH_TYPES_H_
+#define CITRONFERRY_DECISIONS_DISPATCH_TYPES_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/priority.h"
+#include "base/time.h"
+
+namespace citronferry::dispatch {
+
+/// Number of a request within one entry, never reused while the process lives.
+using RequestNumber = uint64_t;
+
+/// What the policy says about one queue.
+struct QueuePolicy {
+  PoolName pool;
+  Priority priority = Priority::kInteractive;
+  bool idempotent = false;
+  Duration declared_run_time = 1s;  ///< First guess until run times have been observed.
+  Duration wait_limit = 30s;        ///< Longest time in the queue, whatever the deadline.
+  size_t max_queued = 1000;
+  int max_attempts = 3;
+};
+
+struct PoolPolicy {
+  double urgent_reserve = 0.25;  ///< Share of the slots kept free for urgent work.
+};
+
+struct TeamPolicy {
+  double weight = 1.0;  ///< Share of a contended pool relative to the other teams.
+};
+
+struct Policy {
+  std::map<QueueName, QueuePolicy> queues;
+  std::map<PoolName, PoolPolicy> pools;
+  std::map<TeamName, TeamPolicy> teams;
+  double retry_budget = 0.1;  ///< Retries allowed for each first attempt.
+};
+
+struct ExecutorState {
+  InstanceId id;
+  PoolName pool;
+  int slots = 0;         ///< Slots that this entry may use, loans included.
+  bool leaving = false;  ///< Receives no new work.
+};
+
+/// Use of an executor by this entry.
+struct ExecutorLoad {
+  InstanceId id;
+  int slots = 0;
+  int in_use = 0;
+};
+
+enum class AttemptOutcome {
+  kAnswered,  ///< The backend server's answer was received.
+  kNotRun,    ///< Certainly not run.
+  kFailed,    ///< The backend server reported a failure of its own.
+  kUnknown,   ///< May or may not have run.
+};
+
+struct Request {
+  RequestNumber number = 0;
+  QueueName queue;
+  TeamName team;
+  TimePoint deadline;
+};
+
+// Events.
+
+struct PolicyChanged {
+  Policy policy;
+};
+struct ExecutorsChanged {
+  std::vector<ExecutorState> executors;
+};
+struct RequestArrived {
+  Request request;
+};
+struct RequestCancelled {
+  RequestNumber number = 0;
+};
+struct AttemptEnded {
+  RequestNumber number = 0;
+  AttemptOutcome outcome = AttemptOutcome::kUnknown;
+};
+/// Time passed; expires requests that waited too long.
+struct Tick {};
+
+using Event = std::variant<PolicyChanged, ExecutorsChanged, RequestArrived, RequestCancelled,
+                           AttemptEnded, Tick>;
+
+// Actions.
+
+/// Send the request to an executor now.
+struct StartAttempt {
+  RequestNumber number = 0;
+  InstanceId executor;
+  int attempt = 1;  ///< Counts from 1.
+};
+
+enum class Verdict {
+  kAnswered,
+  kNotRun,
+  kUnknown,
+  kFailed,  ///< Can never run; every retry would fail too.
+};
+
+/// The request has ended.
+struct EndRequest {
+  RequestNumber number = 0;
+  Verdict verdict = Verdict::kNotRun;
+  std::string reason;
+  Duration retry_after{};  ///< When a new try is likely to succeed; zero if unknown.
+};
+
+using Action = std::variant<StartAttempt, EndRequest>;
+
+}  // namespace citronferry::dispatch
+
+#endif  // CITRONFERRY_DECISIONS_DISPATCH_TYPES_H_
--- /dev/null
+++ b/src/node/gateway/internal/gateway_service.cc
@@ -0,0 +1,48 @@
+#include "http/server.h"
+#include "node/gateway/gateway_module.h"
+#include "node/gateway/internal/dispatch_service.h"
+#include "node/gateway/internal/executor_client.h"
+#include "node/gateway/internal/request_handler.h"
+#include "telemetry/log.h"
+
+namespace citronferry::node {
+namespace {
+
+/// Owns the listener for callers and what answers them.
+class GatewayService : public Service {
+ public:
+  explicit GatewayService(NodeContext& context)
+      : m_dispatch(context),
+        m_executors(context),
+        m_handler(context, m_dispatch, m_executors),
+        m_server(context.timers, MakeOptions(context.settings),
+                 [this](http::Request request) { return m_handler.Handle(std::move(request)); }) {}
+
+  QCoro::Task<Ret> Run() override {
+    Ret listening = m_server.Listen();
+    if (!listening) co_return listening;
+    Log(LogLevel::kInfo, "gateway_listening", {{"port", m_server.port()}});
+    co_return co_await m_server.Run();
+  }
+  void Stop() override { m_server.Stop(); }
+
+ private:
+  static http::ServerOptions MakeOptions(const document::Settings& settings) {
+    return {.address = QHostAddress(QString::fromStdString(settings.caller_listener.address)),
+            .port = settings.caller_listener.port};
+  }
+
+  DispatchService m_dispatch;
+  ExecutorClient m_executors;
+  RequestHandler m_handler;
+  http::Server m_server;
+};
+
+}  // namespace
+
+ChildSpec GatewayModule::MakeChild(NodeContext& context) {
+  return {.name = "gateway",
+          .factory = [&context] { return std::make_unique<GatewayService>(context); }};
+}
+
+}  // namespace citronferry::node
--- /dev/null
+++ b/src/node/gateway/internal/policy.cc
@@ -0,0 +1,72 @@
+#include "node/gateway/internal/policy.h"
+
+#include <algorithm>
+#include <map>
+
+#include "decisions/membership/slot_share.h"
+
+namespace citronferry::node {
+namespace {
+
+std::map<InstanceId, PoolName> PoolsOfInstances(const NodeContext& context) {
+  std::map<InstanceId, PoolName> pools;
+  const auto& document = context.configuration.Get().document;
+  if (!document) return pools;
+  for (const document::Pool& pool : document->pools) {
+    for (const InstanceId& instance : pool.instances) pools[instance] = pool.name;
+  }
+  for (const auto& [instance, ownership] : context.fleet.Get().ownership) {
+    pools[instance] = ownership.serving ? ownership.pool : PoolName();
+  }
+  return pools;
+}
+
+int OwnSlots(const NodeContext& context, std::span<const EntryId> roster,
+             const InstanceId& instance) {
+  const int share = membership::SlotShare(context.settings.id, roster, instance, kExecutorSlots);
+  const auto& adjustments = context.slot_adjustments.Get().delta;
+  const auto adjustment = adjustments.find(instance);
+  return adjustment == adjustments.end() ? share : std::max(0, share + adjustment->second);
+}
+
+}  // namespace
+
+dispatch::Policy MakeDispatchPolicy(const document::Document& document) {
+  dispatch::Policy policy;
+  std::map<ServiceName, PoolName> pools;
+  for (const document::Service& service : document.services) pools[service.name] = service.pool;
+  for (const document::Queue& queue : document.queues) {
+    policy.queues[queue.name] = {.pool = pools[queue.service],
+                                 .priority = queue.priority,
+                                 .idempotent = queue.idempotent,
+                                 .declared_run_time = queue.declared_run_time,
+                                 .wait_limit = queue.wait_limit,
+                                 .max_queued = static_cast<size_t>(queue.max_queued),
+                                 .max_attempts = queue.max_attempts};
+  }
+  for (const document::Pool& pool : document.pools) {
+    policy.pools[pool.name] = {.urgent_reserve = pool.urgent_reserve};
+  }
+  for (const document::Team& team : document.teams) {
+    policy.teams[team.name] = {.weight = team.weight};
+  }
+  return policy;
+}
+
+std::vector<dispatch::ExecutorState> MakeExecutorStates(const NodeContext& context) {
+  std::vector<EntryId> roster;
+  for (const RosterEntry& entry : context.roster.Get().entries) roster.push_back(entry.id);
+  const std::map<InstanceId, PoolName> pools = PoolsOfInstances(context);
+  std::vector<dispatch::ExecutorState> executors;
+  for (const platform::InstanceInfo& instance : context.fleet.Get().instances) {
+    const auto pool = pools.find(instance.id);
+    if (instance.is_entry || pool == pools.end() || pool->second.empty()) continue;
+    executors.push_back({.id = instance.id,
+                         .pool = pool->second,
+                         .slots = OwnSlots(context, roster, instance.id),
+                         .leaving = instance.state == platform::InstanceState::kLeaving});
+  }
+  return executors;
+}
+
+}  // namespace citronferry::node
--- /dev/null
+++ b/src/node/gateway/internal/team_directory.cc
@@ -0,0 +1,32 @@
+#include "node/gateway/internal/team_directory.h"
+
+#include <sodium.h>
+
+#include "node/node_context.h"
+
+namespace citronferry::node {
+
+std::string_view BearerToken(std::string_view authorization) {
+  constexpr std::string_view kScheme = "Bearer ";
+  if (!authorization.starts_with(kScheme)) return {};
+  return authorization.substr(kScheme.size());
+}
+
+std::optional<TeamName> AuthenticateTeam(const document::Document& document,
+                                         std::string_view authorization) {
+  const std::string_view token = BearerToken(authorization);
+  if (token.empty()) return std::nullopt;
+  const std::string digest = Sha256Hex(token);
+  const document::Team* match = nullptr;
+  // Compares with every team, so that the time tells nothing about which one matched.
+  for (const document::Team& team : document.teams) {
+    if (team.token_sha256.size() == digest.size() &&
+        sodium_memcmp(team.token_sha256.data(), digest.data(), digest.size()) == 0) {
+      match = &team;
+    }
+  }
+  if (!match) return std::nullopt;
+  return match->name;
+}
+
+}  // namespace citronferry::node
--- /dev/null
+++ b/src/node/gateway/internal/team_directory.h
@@ -0,0 +1,21 @@
+#ifndef CITRONFERRY_NODE_GATEWAY_INTERNAL_TEAM_DIRECTORY_H_
+#define CITRONFERRY_NODE_GATEWAY_INTERNAL_TEAM_DIRECTORY_H_
+
+#include <optional>
+#include <string_view>
+
+#include "document/document.h"
+
+namespace citronferry::node {
+
+/// Finds the team of an Authorization header. Compares digests in constant time.
+/// @return the team, or nothing when the token is missing or unknown.
+std::optional<TeamName> AuthenticateTeam(const document::Document& document,
+                                         std::string_view authorization);
+
+/// @return the token of a "Bearer" Authorization header, or an empty view.
+std::string_view BearerToken(std::string_view authorization);
+
+}  // namespace citronferry::node
+
+#endif  // CITRONFERRY_NODE_GATEWAY_INTERNAL_TEAM_DIRECTORY_H_
--- /dev/null
+++ b/src/node/internal/node.cc
@@ -0,0 +1,79 @@
+#include "node/node.h"
+
+#include <QCoreApplication>
+#include <fstream>
+
+#include "node/admin/admin_module.h"
+#include "node/configuration/configuration_module.h"
+#include "node/fleet/fleet_module.h"
+#include "node/gateway/gateway_module.h"
+#include "node/internal/termination.h"
+#include "node/membership/membership_module.h"
+#include "node/node_context.h"
+#include "supervision/task_scope.h"
+#include "telemetry/log.h"
+
+namespace citronferry::node {
+namespace {
+
+// The balancer needs this long to notice that the entry is not ready any more.
+constexpr Duration kDrainNotice = 2s;
+
+std::string ReadTokenFile(const std::string& path) {
+  if (path.empty()) return {};
+  std::ifstream file(path);
+  std::string token;
+  std::getline(file, token);
+  return token;
+}
+
+Supervisor MakeRoot(NodeContext& context) {
+  std::vector<ChildSpec> children;
+  children.push_back(ConfigurationModule::MakeChild(context));
+  children.push_back(FleetModule::MakeChild(context));
+  children.push_back(MembershipModule::MakeChild(context));
+  children.push_back(GatewayModule::MakeChild(context));
+  children.push_back(AdminModule::MakeChild(context));
+  return Supervisor(
+      context.timers,
+      {.name = "root", .strategy = RestartStrategy::kRestForOne, .stop_deadline = 35s},
+      std::move(children));
+}
+
+QCoro::Task<void> DrainAndStop(NodeContext& context, Supervisor& root) {
+  if (context.lifecycle.Get() == Lifecycle::kDraining) co_return;
+  Log(LogLevel::kInfo, "drain_started");
+  context.lifecycle.Set(Lifecycle::kDraining);
+  co_await SleepFor(context.timers, kDrainNotice);
+  root.Stop();
+}
+
+}  // namespace
+
+Ret RunNode(const document::Settings& settings) {
+  const std::unique_ptr<TimerService> timers = MakeQtTimerService();
+  Metrics metrics;
+  platform::PlatformModule platform(
+      {.url = settings.platform_url, .token = ReadTokenFile(settings.platform_token_file)});
+  NodeContext context{.settings = settings,
+                      .timers = *timers,
+                      .metrics = metrics,
+                      .platform = platform,
+                      .incarnation = RandomToken()};
+  Supervisor root = MakeRoot(context);
+  TaskScope tasks;
+  TerminationSignals termination(
+      [&] { tasks.Spawn([&]() -> QCoro::Task<void> { return DrainAndStop(context, root); }); });
+  Ret result;
+  tasks.Spawn([&]() -> QCoro::Task<void> {
+    Log(LogLevel::kInfo, "node_started",
+        {{"entry", settings.id.view()}, {"incarnation", context.incarnation}});
+    result = co_await root.Run();
+    Log(LogLevel::kInfo, "node_stopped", {{"error", result.message()}});
+    QCoreApplication::quit();
+  });
+  QCoreApplication::exec();
+  return result;
+}
+
+}  // namespace citronferry::node
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,17 @@
+#ifndef CITRONFERRY_NODE_NODE_H_
+#define CITRONFERRY_NODE_NODE_H_
+
+#include "base/ret.h"
+#include "document/settings.h"
+
+namespace citronferry::node {
+
+/// Runs an entry until SIGTERM or SIGINT, then drains it.
+/// @param settings checked settings of the process.
+/// @return success after a graceful shutdown, otherwise why the node gave up.
+/// @note Needs a QCoreApplication and runs its event loop.
+Ret RunNode(const document::Settings& settings);
+
+}  // namespace citronferry::node
+
+#endif  // CITRONFERRY_NODE_NODE_H_
--- /dev/null
+++ b/src/node/node_context.h
@@ -0,0 +1,95 @@
+#ifndef CITRONFERRY_NODE_NODE_CONTEXT_H_
+#define CITRONFERRY_NODE_NODE_CONTEXT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "document/document.h"
+#include "document/settings.h"
+#include "platform/platform_module.h"
+#include "supervision/observable.h"
+#include "supervision/timer_service.h"
+#include "telemetry/metrics.h"
+
+namespace citronferry::node {
+
+/// The configuration in force on this entry.
+struct ActiveConfiguration {
+  uint64_t version = 0;  ///< 0 until the first configuration is adopted.
+  std::string digest;    ///< Lower-case hexadecimal SHA-256 of the text.
+  std::string text;
+  std::shared_ptr<const document::Document> document;
+};
+
+/// Which pool an instance belongs to, by its row in the table service.
+struct InstanceOwnership {
+  PoolName pool;
+  bool serving = false;  ///< False while the instance drains or is detached.
+  uint64_t version = 0;  ///< Version of the row, sent with each request as a fence.
+};
+
+/// The instances as this entry knows them.
+struct FleetView {
+  std::vector<platform::InstanceInfo> instances;
+  std::map<InstanceId, InstanceOwnership> ownership;
+  uint64_t ownership_sequence = 0;  ///< Change-feed position up to which ownership is known.
+};
+
+struct RosterEntry {
+  EntryId id;
+  std::string incarnation;   ///< Random; differs after each start of the process.
+  std::string peer_address;  ///< IP address and port of its peer listener.
+  DataCentreName data_centre;
+  uint64_t acknowledged_sequence = 0;   ///< Ownership changes that the entry obeys.
+  uint64_t configuration_version = 0;   ///< Configuration in force on the entry.
+  std::map<InstanceId, int> in_flight;  ///< Requests on instances that are not serving.
+};
+
+/// The entries that share the executors.
+struct RosterView {
+  std::vector<RosterEntry> entries;
+};
+
+enum class Lifecycle { kServing, kDraining };
+
+/// Slots that this entry may use beyond (positive) or below (negative) its own share.
+struct SlotAdjustments {
+  std::map<InstanceId, int> delta;
+};
+
+/// Load of the gateway at one moment.
+struct GatewayLoad {
+  std::map<InstanceId, int> free_slots;
+  std::map<InstanceId, int> in_flight;
+  std::map<PoolName, size_t> waiting;
+};
+
+/// State and services that the parts of a node share. Each observable has one owner that sets it.
+struct NodeContext {
+  const document::Settings& settings;
+  TimerService& timers;
+  Metrics& metrics;
+  platform::PlatformModule& platform;
+  std::string incarnation;
+
+  Observable<ActiveConfiguration> configuration;  ///< Set by the configuration watcher.
+  Observable<FleetView> fleet;                    ///< Set by the fleet watcher.
+  Observable<RosterView> roster;                  ///< Set by membership.
+  Observable<SlotAdjustments> slot_adjustments;   ///< Set by membership.
+  Observable<Lifecycle> lifecycle;                ///< Set by the node and the drain command.
+  std::function<GatewayLoad()> read_load;         ///< Set by the gateway while it runs.
+};
+
+/// @return 16 random hexadecimal digits.
+std::string RandomToken();
+/// @return the lower-case hexadecimal SHA-256 of a text.
+std::string Sha256Hex(std::string_view text);
+
+}  // namespace citronferry::node
+
+#endif  // CITRONFERRY_NODE_NODE_CONTEXT_H_
--- /dev/null
+++ b/src/platform/internal/http_instance_service.cc
@@ -0,0 +1,47 @@
+#include "platform/internal/http_instance_service.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace citronferry::platform {
+namespace {
+
+std::string Text(const QJsonObject& object, const char* name) {
+  return object.value(QLatin1String(name)).toString().toStdString();
+}
+
+InstanceInfo ParseInstance(const QJsonObject& object) {
+  return {
+      .id = InstanceId(Text(object, "id")),
+      .address = Text(object, "address"),
+      .data_centre = DataCentreName(Text(object, "data_centre")),
+      .rack = RackName(Text(object, "rack")),
+      .state = Text(object, "state") == "leaving" ? InstanceState::kLeaving : InstanceState::kLive,
+      .is_entry = Text(object, "role") == "entry"};
+}
+
+}  // namespace
+
+QCoro::Task<RetVal<std::vector<InstanceInfo>>> HttpInstanceService::List() {
+  PlatformCall call{.path = "/v1/instances"};
+  const auto response = co_await m_caller.Send(std::move(call));
+  if (!response.ok()) co_return response.ret();
+  if (response->status != 200) co_return StatusError(response.value(), "list of instances");
+  const QJsonDocument json = QJsonDocument::fromJson(response->body);
+  if (!json.isArray()) co_return Ret(ErrorCode::kInternal, "the instance list is not a JSON array");
+  std::vector<InstanceInfo> instances;
+  for (const auto& item : json.array()) instances.push_back(ParseInstance(item.toObject()));
+  co_return instances;
+}
+
+QCoro::Task<Ret> HttpInstanceService::Reboot(InstanceId instance) {
+  PlatformCall call{.method = "POST",
+                    .path = "/v1/instances/" + EncodePathSegment(instance.view()) + "/reboot"};
+  const auto response = co_await m_caller.Send(std::move(call));
+  if (!response.ok()) co_return response.ret();
+  if (response->status != 202) co_return StatusError(response.value(), "reboot of an instance");
+  co_return MakeOk();
+}
+
+}  // namespace citronferry::platform
--- /dev/null
+++ b/standins/platform/instance_list.h
@@ -0,0 +1,41 @@
+#ifndef CITRONFERRY_STANDINS_PLATFORM_INSTANCE_LIST_H_
+#define CITRONFERRY_STANDINS_PLATFORM_INSTANCE_LIST_H_
+
+#include <QJsonArray>
+#include <QJsonObject>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "base/time.h"
+
+namespace citronferry::standin {
+
+/// List of instances that shows changes with a lag.
+class InstanceList {
+ public:
+  /// Adds or replaces an instance; "id" names it.
+  void Put(const QJsonObject& instance, TimePoint now);
+  void Remove(const std::string& id, TimePoint now);
+  void SetLag(Duration lag) { m_lag = lag; }
+  bool Contains(const std::string& id) const { return m_instances.contains(id); }
+
+  /// @return the list as it was one lag ago.
+  QJsonArray Visible(TimePoint now);
+
+ private:
+  struct Snapshot {
+    TimePoint time;
+    QJsonArray instances;
+  };
+
+  void Record(TimePoint now);
+
+  std::map<std::string, QJsonObject> m_instances;
+  std::deque<Snapshot> m_history;
+  Duration m_lag{};
+};
+
+}  // namespace citronferry::standin
+
+#endif  // CITRONFERRY_STANDINS_PLATFORM_INSTANCE_LIST_H_
