--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -20,7 +20,9 @@
   const std::string& str() const { return m_value; }
   bool empty() const { return m_value.empty(); }
 
-  friend auto operator<=>(const StrongId&, const StrongId&) = default;
+  // clang-tidy 14 takes the defaulted operator for a null pointer.
+  friend auto operator<=>(const StrongId&,
+                          const StrongId&) = default;  // NOLINT(modernize-use-nullptr)
 
  private:
   std::string m_value;
