Replay recorded traces through the dispatch decision

A trace is one JSON object a line: events, then stated outcomes. The answers of executors are part of the trace, so a changed decision is replayed in a closed loop in virtual time; this is no simulator of processes or networks. Reading uses Boost.LEAF, since it is synchronous and has several layers. A trace that states no outcome, or an unknown one, fails.

--- a/src/cli/internal/cli.cc
+++ b/src/cli/internal/cli.cc
@@ -17,9 +17,10 @@
   Command run;
 };
 
-constexpr std::array<CommandEntry, 3> kCommands{{
+constexpr std::array<CommandEntry, 4> kCommands{{
     {"serve", "run an entry", &RunServe},
     {"check", "check a document without any network", &RunCheck},
+    {"replay", "replay recorded traces and compare the stated outcomes", &RunReplay},
     {"version", "print the version", &RunVersion},
 }};
 
--- a/src/cli/internal/commands.h
+++ b/src/cli/internal/commands.h
@@ -14,6 +14,7 @@
 using Command = int (*)(std::span<char*> arguments);
 
 int RunServe(std::span<char*> arguments);
+int RunReplay(std::span<char*> arguments);
 int RunCheck(std::span<char*> arguments);
 int RunVersion(std::span<char*> arguments);
 
--- /dev/null
+++ b/src/replay/internal/expectations.h
@@ -0,0 +1,15 @@
+#ifndef CITRONFERRY_REPLAY_INTERNAL_EXPECTATIONS_H_
+#define CITRONFERRY_REPLAY_INTERNAL_EXPECTATIONS_H_
+
+#include "replay/internal/dispatch_record.h"
+#include "replay/replay.h"
+#include "replay/trace.h"
+
+namespace citronferry::replay {
+
+/// Compares one stated outcome with what a replay has seen.
+ExpectationResult CheckExpectation(const TraceLine& line, const DispatchRecord& record);
+
+}  // namespace citronferry::replay
+
+#endif  // CITRONFERRY_REPLAY_INTERNAL_EXPECTATIONS_H_
--- /dev/null
+++ b/src/replay/internal/replay.cc
@@ -0,0 +1,44 @@
+#include "replay/replay.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "replay/internal/dispatch_player.h"
+#include "replay/internal/expectations.h"
+#include "replay/trace.h"
+
+namespace citronferry::replay {
+namespace {
+
+namespace leaf = boost::leaf;
+
+leaf::result<ReplayResult> Replay(std::string_view text) {
+  BOOST_LEAF_AUTO(trace, ReadTrace(text));
+  ReplayResult result;
+  DispatchPlayer player;
+  result.error = player.Play(trace);
+  if (!result.error.empty()) return result;
+  for (const TraceLine& line : trace.expectations) {
+    result.expectations.push_back(CheckExpectation(line, player.record()));
+  }
+  return result;
+}
+
+}  // namespace
+
+bool ReplayResult::ok() const {
+  return error.empty() && !expectations.empty() &&
+         std::all_of(expectations.begin(), expectations.end(),
+                     [](const ExpectationResult& result) { return result.met; });
+}
+
+ReplayResult ReplayTrace(std::string_view text) {
+  return leaf::try_handle_all(
+      [text] { return Replay(text); },
+      [](const TraceError& error) {
+        return ReplayResult{.error = "line " + std::to_string(error.line) + ": " + error.message};
+      },
+      [] { return ReplayResult{.error = "the trace can not be read"}; });
+}
+
+}  // namespace citronferry::replay
