--- /dev/null
+++ b/src/decisions/capacity/internal/roll_out_estimate.cc
@@ -0,0 +1,28 @@
+#include "decisions/capacity/roll_out_estimate.h"
+
+#include <algorithm>
+
+namespace citronferry::capacity {
+
+int AllowedOut(const WavePool& pool) {
+  return std::max(0, pool.max_unavailable - pool.reserve - pool.unplanned_down);
+}
+
+std::optional<Duration> PoolLowerBound(const WavePool& pool, Duration instance_time) {
+  const int allowed = AllowedOut(pool);
+  if (allowed == 0) return std::nullopt;
+  const int rounds = (pool.instances + allowed - 1) / allowed;
+  return rounds * instance_time;
+}
+
+std::optional<Duration> WaveLowerBound(std::span<const WavePool> pools, Duration instance_time) {
+  Duration longest{};
+  for (const WavePool& pool : pools) {
+    const auto bound = PoolLowerBound(pool, instance_time);
+    if (!bound) return std::nullopt;
+    longest = std::max(longest, *bound);
+  }
+  return longest;
+}
+
+}  // namespace citronferry::capacity
--- a/src/replay/internal/replay.cc
+++ b/src/replay/internal/replay.cc
@@ -13,7 +13,9 @@
 namespace leaf = boost::leaf;
 
 leaf::result<ReplayResult> Replay(std::string_view text) {
-  BOOST_LEAF_AUTO(trace, ReadTrace(text));
+  leaf::result<Trace> read = ReadTrace(text);
+  if (!read) return read.error();
+  const Trace& trace = *read;
   ReplayResult result;
   DispatchPlayer player;
   result.error = player.Play(trace);
--- a/src/replay/internal/trace.cc
+++ b/src/replay/internal/trace.cc
@@ -38,7 +38,9 @@
     const std::string_view line = text.substr(0, end);
     text.remove_prefix(std::min(end + 1, text.size()));
     if (line.empty() || line.front() == '#') continue;
-    BOOST_LEAF_AUTO(parsed, ReadLine(line, number));
+    leaf::result<TraceLine> read = ReadLine(line, number);
+    if (!read) return read.error();
+    TraceLine& parsed = *read;
     if (parsed.event == "expect") {
       trace.expectations.push_back(std::move(parsed));
       continue;
