--- a/src/http/client.h
+++ b/src/http/client.h
@@ -57,13 +57,15 @@
   ///   kInvalidArgument when the URL does not name an IP address.
   QCoro::Task<RetVal<Response>> Send(ClientRequest request);
 
-  /// Drops kept-alive connections, after a peer stopped answering on one of them.
+  /// Uses no kept-alive connection again, after a peer stopped answering on one of them. Exchanges
+  /// that are in flight go on.
   void ForgetConnections();
 
  private:
   struct Lane;
 
   Lane* AcquireLane(const std::string& authority, Idempotency idempotency);
+  void ReleaseLane(Lane* lane, const std::string& authority);
   QNetworkReply* StartExchange(Lane& lane, const ClientRequest& request);
 
   ClientOptions m_options;
--- a/src/http/internal/client.cc
+++ b/src/http/internal/client.cc
@@ -86,6 +86,23 @@
 
 enum class ExchangeEnd { kFinished, kTimedOut, kAborted, kTooLarge };
 
+RetVal<Response> ReadResult(QNetworkReply& reply, ExchangeEnd end, const std::string& authority) {
+  switch (end) {
+    case ExchangeEnd::kTimedOut:
+      return Ret(ErrorCode::kUnknownOutcome, "no answer from " + authority + " in time");
+    case ExchangeEnd::kAborted:
+      return Ret(ErrorCode::kCancelled, "exchange aborted");
+    case ExchangeEnd::kTooLarge:
+      return Ret(ErrorCode::kUnknownOutcome, "answer from " + authority + " is too large");
+    case ExchangeEnd::kFinished:
+      break;
+  }
+  if (IsComplete(reply)) return ReadResponse(reply);
+  return Ret(
+      IsCertainlyNotSent(reply.error()) ? ErrorCode::kUnavailable : ErrorCode::kUnknownOutcome,
+      authority + ": " + reply.errorString().toStdString());
+}
+
 }  // namespace
 
 /// One QNetworkAccessManager with its share of the connections.
@@ -97,6 +114,7 @@
   Idempotency idempotency;
   QNetworkAccessManager manager;
   std::map<std::string, int> in_flight;  // By authority of the server.
+  bool retired = false;                  // Ends when its exchanges have ended.
 };
 
 Client::Client(ClientOptions options) : m_options(std::move(options)) {}
@@ -104,7 +122,16 @@
 Client::~Client() = default;
 
 void Client::ForgetConnections() {
-  for (const auto& lane : m_lanes) lane->manager.clearConnectionCache();
+  // QNetworkAccessManager::clearConnectionCache also ends the exchanges in flight without telling
+  // their replies, so the managers are replaced instead.
+  for (const auto& lane : m_lanes) lane->retired = true;
+  std::erase_if(m_lanes, [](const auto& lane) { return lane->in_flight.empty(); });
+}
+
+void Client::ReleaseLane(Lane* lane, const std::string& authority) {
+  if (--lane->in_flight[authority] == 0) lane->in_flight.erase(authority);
+  if (!lane->retired || !lane->in_flight.empty()) return;
+  std::erase_if(m_lanes, [lane](const auto& owned) { return owned.get() == lane; });
 }
 
 Client::Lane* Client::AcquireLane(const std::string& authority, Idempotency idempotency) {
@@ -116,7 +143,7 @@
     const auto found = lane->in_flight.find(authority);
     const int in_flight = found == lane->in_flight.end() ? 0 : found->second;
     total += static_cast<size_t>(in_flight);
-    if (!free_lane && lane->idempotency == idempotency && in_flight < capacity) {
+    if (!free_lane && !lane->retired && lane->idempotency == idempotency && in_flight < capacity) {
       free_lane = lane.get();
     }
   }
@@ -173,23 +200,12 @@
     abort = request.abort->Subscribe([&] { end.Set(ExchangeEnd::kAborted); });
   }
 
-  const ExchangeEnd result = co_await end.Wait();
-  if (--lane->in_flight[authority] == 0) lane->in_flight.erase(authority);
-  switch (result) {
-    case ExchangeEnd::kTimedOut:
-      co_return Ret(ErrorCode::kUnknownOutcome, "no answer from " + authority + " in time");
-    case ExchangeEnd::kAborted:
-      co_return Ret(ErrorCode::kCancelled, "exchange aborted");
-    case ExchangeEnd::kTooLarge:
-      co_return Ret(ErrorCode::kUnknownOutcome, "answer from " + authority + " is too large");
-    case ExchangeEnd::kFinished:
-      break;
-  }
-  if (IsComplete(*reply)) co_return ReadResponse(*reply);
-  const std::string message = authority + ": " + reply->errorString().toStdString();
-  co_return Ret(
-      IsCertainlyNotSent(reply->error()) ? ErrorCode::kUnavailable : ErrorCode::kUnknownOutcome,
-      message);
+  const ExchangeEnd exchange_end = co_await end.Wait();
+  RetVal<Response> result = ReadResult(*reply, exchange_end, authority);
+  // The reply belongs to the lane's manager, so it ends first.
+  reply.reset();
+  ReleaseLane(lane, authority);
+  co_return result;
 }
 
 }  // namespace citronferry::http
