Schedule by class, team, deadline and executor health

Cause: the thin dispatcher has one list per queue. A cancellation and each event scan all waiting requests, long jobs can hold every slot, one team can hold a pool, an executor that leaves the list and comes back has its slots used twice, and an idempotent request whose attempt may have run is reported as not run when it expires before its retry.

Engine keeps a record for each request in intrusive lists (cancel without a search), one ClassQueue for each pool and class, and an ExpiryIndex. Admission refuses when the wait of the team's own share at optimistic run times, plus one optimistic run time, misses the deadline. Retries wait in a list of their own until an executor is free that has not failed the request. What follows from an outcome is a table.

AttemptOutcome::kWithdrawn is new: this entry gave the attempt up before it was sent (for example without a claim). It ends the request as not run and does not judge the executor. ReadExecutors reports executors that have left the list with no slots until their last attempt ends. A policy without teams accepts every team, as before.

--- /dev/null
+++ b/src/decisions/dispatch/internal/class_queue.h
@@ -0,0 +1,46 @@
+#ifndef CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_CLASS_QUEUE_H_
+#define CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_CLASS_QUEUE_H_
+
+#include <vector>
+
+#include "decisions/dispatch/internal/fair_share.h"
+#include "decisions/dispatch/internal/request_record.h"
+
+namespace citronferry::dispatch {
+
+/// Waiting requests of one priority class in one pool: first come, first served within a team, and
+/// weighted fair queueing by slot time between teams.
+class ClassQueue {
+ public:
+  bool empty() const { return m_size == 0; }
+  size_t size() const { return m_size; }
+
+  void SetWeight(uint32_t team, double weight) { m_share.SetWeight(team, weight); }
+  void Push(RequestRecord& record);
+  void Remove(RequestRecord& record);
+  /// @return the request to start next.
+  RequestRecord& Front() const { return *m_teams[m_share.Next()].waiting.front(); }
+  /// Charges the team of the front request for an attempt that starts now.
+  void Charge(uint32_t team, double cost) { m_share.Charge(team, cost); }
+  void Correct(uint32_t team, double difference) { m_share.Correct(team, difference); }
+
+  /// @return slot time in seconds of all waiting requests, by optimistic estimates.
+  double work() const { return m_work; }
+  /// @return slot time in seconds that is served before a request of a team that arrives now.
+  double WorkAhead(uint32_t team) const;
+
+ private:
+  struct TeamQueue {
+    RecordList waiting;
+    double work = 0;
+  };
+
+  FairShare m_share;
+  std::vector<TeamQueue> m_teams;
+  size_t m_size = 0;
+  double m_work = 0;
+};
+
+}  // namespace citronferry::dispatch
+
+#endif  // CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_CLASS_QUEUE_H_
--- /dev/null
+++ b/src/decisions/dispatch/internal/engine.cc
@@ -0,0 +1,536 @@
+#include "decisions/dispatch/internal/engine.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "decisions/dispatch/internal/admission.h"
+
+namespace citronferry::dispatch {
+namespace {
+
+using Place = RequestRecord::Place;
+
+constexpr int kCondemningExecutors = 3;
+// Attempts on sick executors are not the request's fault, but can not go on for ever.
+constexpr int kSickAttemptsFactor = 3;
+// Retries that wait for another executor than the free ones must not make each event expensive.
+constexpr int kMaxRetriesScanned = 16;
+// Bounds what a single outlier or a lucky loan of idle slots costs a team later.
+constexpr double kMaxCorrectionSeconds = 10;
+constexpr double kMaxCorrectionFactor = 4;
+constexpr Duration kRetryAfterFailure = 1s;
+
+/// @return what is known after two attempts: the less is certain, the more it counts.
+Verdict Combine(Verdict earlier, Verdict later) {
+  if (earlier == Verdict::kUnknown || later == Verdict::kNotRun) return earlier;
+  return later;
+}
+
+std::string_view FailureReason(Verdict verdict) {
+  switch (verdict) {
+    case Verdict::kNotRun:
+      return "no backend server took the request";
+    case Verdict::kFailed:
+      return "the backend server failed";
+    default:
+      return "no answer from the backend server";
+  }
+}
+
+}  // namespace
+
+// In the order of AttemptOutcome.
+const std::array<Engine::OutcomeRule, kAttemptOutcomeCount> Engine::kOutcomeRules{{
+    {.decide = &Engine::Answer, .known = Verdict::kAnswered, .may_have_run = true},
+    {.decide = &Engine::Retry},
+    {.decide = &Engine::RetryIfIdempotent, .known = Verdict::kFailed, .may_have_run = true},
+    {.decide = &Engine::RetryIfIdempotent, .known = Verdict::kUnknown, .may_have_run = true},
+    {.decide = &Engine::GiveUp, .judges_executor = false},
+}};
+
+std::vector<Action> Engine::Handle(const Event& event, TimePoint now) {
+  using Handler = void (Engine::*)(const Event&);
+  // In the order of the alternatives of Event.
+  static constexpr std::array<Handler, std::variant_size_v<Event>> kHandlers{
+      &Engine::OnPolicyChanged,    &Engine::OnExecutorsChanged, &Engine::OnRequestArrived,
+      &Engine::OnRequestCancelled, &Engine::OnAttemptEnded,     &Engine::OnTick};
+  m_now = now;
+  (this->*kHandlers[event.index()])(event);
+  ExpireWaiting();
+  StartWaiting();
+  return std::exchange(m_actions, {});
+}
+
+std::map<PoolName, size_t> Engine::WaitingByPool() const {
+  std::map<PoolName, size_t> counts;
+  for (const auto& [name, pool] : m_pools) counts.emplace(name, pool->waiting);
+  return counts;
+}
+
+std::vector<ExecutorLoad> Engine::ReadExecutors() const {
+  std::vector<ExecutorLoad> loads;
+  loads.reserve(m_executors.size());
+  for (const auto& [id, executor] : m_executors) {
+    loads.push_back({.id = id,
+                     .slots = executor->pool ? executor->slots : 0,
+                     .in_use = executor->in_use,
+                     .ejected = executor->health.IsEjected()});
+  }
+  return loads;
+}
+
+std::vector<QueueLoad> Engine::ReadQueues() const {
+  std::vector<QueueLoad> loads;
+  for (const auto& [name, queue] : m_queues) {
+    if (!queue->declared) continue;
+    const Duration typical = queue->run_times.Typical(queue->policy.declared_run_time);
+    loads.push_back({.name = name, .waiting = queue->waiting, .typical_run_time = typical});
+  }
+  return loads;
+}
+
+void Engine::OnPolicyChanged(const Event& event) {
+  const Policy& policy = std::get<PolicyChanged>(event).policy;
+  std::vector<std::pair<RequestRecord*, Place>> waiting;
+  for (const auto& [number, record] : m_records) {
+    if (record->place != Place::kRunning) waiting.emplace_back(record.get(), record->place);
+  }
+  std::sort(waiting.begin(), waiting.end(),
+            [](const auto& a, const auto& b) { return a.first->number < b.first->number; });
+  for (const auto& [record, place] : waiting) Dequeue(*record);
+  m_retry_ratio = policy.retry_budget;
+  DeclareTeams(policy);
+  DeclareQueues(policy);
+  for (const auto& [record, place] : waiting) {
+    if (!record->queue->declared) {
+      End(*record, "the queue was removed from the configuration");
+    } else if (!record->team->declared) {
+      End(*record, "the team was removed from the configuration");
+    } else {
+      Enqueue(*record, place);
+    }
+  }
+}
+
+void Engine::DeclareTeams(const Policy& policy) {
+  m_any_team = policy.teams.empty();
+  for (const auto& [name, team] : m_teams) {
+    team->declared = m_any_team;
+    team->weight = 1;
+  }
+  for (const auto& [name, declared] : policy.teams) {
+    TeamState& team = TeamOf(name);
+    team.weight = declared.weight;
+    team.declared = true;
+  }
+}
+
+void Engine::DeclareQueues(const Policy& policy) {
+  for (const auto& [name, queue] : m_queues) queue->declared = false;
+  for (const auto& [name, pool] : m_pools) pool->policy = {};
+  for (const auto& [name, declared] : policy.pools) PoolOf(name).policy = declared;
+  std::set<PoolState*> with_urgent_queue;
+  for (const auto& [name, declared] : policy.queues) {
+    QueueState& queue = QueueOf(name);
+    queue.policy = declared;
+    queue.pool = &PoolOf(declared.pool);
+    queue.declared = true;
+    if (declared.priority == Priority::kUrgent) with_urgent_queue.insert(queue.pool);
+  }
+  for (const auto& [name, pool] : m_pools) {
+    const bool reserves = with_urgent_queue.contains(pool.get());
+    pool->executors.SetReserve(reserves ? pool->policy.urgent_reserve : 0);
+    MarkDirty(*pool);
+  }
+}
+
+void Engine::OnExecutorsChanged(const Event& event) {
+  ++m_list;
+  for (const ExecutorState& state : std::get<ExecutorsChanged>(event).executors) {
+    auto& executor = m_executors[state.id];
+    if (!executor) executor = std::make_unique<Executor>(Executor{.id = state.id});
+    executor->list = m_list;
+    UpdateExecutor(*executor, state);
+  }
+  std::erase_if(m_executors, [this](const auto& item) {
+    Executor& executor = *item.second;
+    if (executor.list == m_list) return false;
+    if (executor.pool) executor.pool->executors.Remove(executor);
+    executor.pool = nullptr;
+    return executor.in_use == 0;
+  });
+}
+
+void Engine::UpdateExecutor(Executor& executor, const ExecutorState& state) {
+  PoolState& pool = PoolOf(state.pool);
+  const bool moved = executor.pool != &pool;
+  // The list is read again whenever anything around the fleet changes; most of it stays the same.
+  if (!moved && executor.slots == state.slots && executor.leaving == state.leaving) return;
+  if (moved && executor.pool) executor.pool->executors.Remove(executor);
+  executor.slots = state.slots;
+  executor.leaving = state.leaving;
+  if (moved) {
+    executor.pool = &pool;
+    pool.executors.Add(executor, m_now);
+  } else {
+    pool.executors.Refresh(executor, m_now);
+  }
+  MarkDirty(pool);
+}
+
+void Engine::OnRequestArrived(const Event& event) {
+  const Request& request = std::get<RequestArrived>(event).request;
+  const auto queue_item = m_queues.find(request.queue);
+  if (queue_item == m_queues.end() || !queue_item->second->declared) {
+    return Refuse(request.number, "unknown queue");
+  }
+  if (m_any_team) TeamOf(request.team).declared = true;
+  const auto team_item = m_teams.find(request.team);
+  if (team_item == m_teams.end() || !team_item->second->declared) {
+    return Refuse(request.number, "unknown team");
+  }
+  QueueState& queue = *queue_item->second;
+  TeamState& team = *team_item->second;
+  if (queue.waiting >= queue.policy.max_queued) DropHopeless(queue);
+  if (auto refusal = Admission(queue, team, request.deadline, m_now).Check()) {
+    return Refuse(request.number, std::move(refusal->reason), refusal->retry_after);
+  }
+  auto record = std::make_unique<RequestRecord>();
+  record->number = request.number;
+  record->deadline = request.deadline;
+  record->queue = &queue;
+  record->team = &team;
+  record->idempotent = queue.policy.idempotent;
+  record->expires = std::min(request.deadline, m_now + queue.policy.wait_limit);
+  const auto [item, added] = m_records.emplace(request.number, std::move(record));
+  if (added) Enqueue(*item->second, Place::kQueued);
+}
+
+void Engine::DropHopeless(const QueueState& queue) {
+  const auto first = m_expiry.First(queue.index);
+  if (!first) return;
+  RequestRecord& record = *m_records.at(*first);
+  if (IsHopeless(record, m_now)) {
+    End(record, "the deadline can not be met", EstimateDrain(queue));
+  }
+}
+
+void Engine::OnRequestCancelled(const Event& event) {
+  const auto item = m_records.find(std::get<RequestCancelled>(event).number);
+  if (item == m_records.end()) return;
+  RequestRecord& record = *item->second;
+  record.cancelled = true;
+  if (record.place == Place::kRunning) return;
+  Dequeue(record);
+  Forget(record);
+}
+
+void Engine::OnAttemptEnded(const Event& event) {
+  const auto& ended = std::get<AttemptEnded>(event);
+  const auto item = m_records.find(ended.number);
+  if (item == m_records.end() || item->second->place != Place::kRunning) return;
+  RequestRecord& record = *item->second;
+  const OutcomeRule& rule = kOutcomeRules[static_cast<size_t>(ended.outcome)];
+  LearnRunTime(record, ended.outcome);
+  ReleaseSlot(record, rule);
+  if (record.cancelled) return Forget(record);
+  record.verdict = Combine(record.verdict, rule.known);
+  (this->*rule.decide)(record);
+}
+
+void Engine::OnTick(const Event&) {
+  for (const auto& [name, pool] : m_pools) MarkDirty(*pool);
+}
+
+void Engine::LearnRunTime(const RequestRecord& record, AttemptOutcome outcome) {
+  RunTimeEstimator& run_times = record.queue->run_times;
+  const Duration elapsed = m_now - record.started;
+  // Failures are often immediate and teach nothing.
+  if (outcome == AttemptOutcome::kAnswered) run_times.Observe(elapsed, m_now);
+  if (outcome == AttemptOutcome::kUnknown) run_times.ObserveAtLeast(elapsed);
+}
+
+void Engine::ReleaseSlot(RequestRecord& record, const OutcomeRule& rule) {
+  Executor& executor = *std::exchange(record.executor, nullptr);
+  record.place = Place::kNone;
+  const double difference =
+      std::clamp(ToSeconds(m_now - record.started) - record.charged, -record.charged,
+                 std::max(kMaxCorrectionSeconds, kMaxCorrectionFactor * record.charged));
+  record.pool->classes[IndexOf(record.priority)].Correct(record.team->index, difference);
+  record.pool->order.Correct(record.priority, difference);
+
+  const bool success = rule.known == Verdict::kAnswered;
+  if (!success) {
+    const auto known =
+        std::find_if(record.failed_on.begin(), record.failed_on.end(),
+                     [&](const FailedOn& failed) { return failed.executor == executor.id; });
+    FailedOn& failed = known != record.failed_on.end()
+                           ? *known
+                           : record.failed_on.emplace_back(FailedOn{.executor = executor.id});
+    ++failed.attempts;
+    failed.may_have_run |= rule.may_have_run;
+  }
+  --executor.in_use;
+  if (record.priority != Priority::kUrgent) --executor.in_use_by_others;
+  if (!executor.pool) {
+    if (executor.in_use == 0) m_executors.erase(InstanceId(executor.id));
+    return;
+  }
+  // A caller that goes away cuts its attempt off; a wave of cancellations must not eject anyone.
+  const bool cut_off = record.cancelled && !success;
+  if (rule.judges_executor && !cut_off) {
+    executor.pool->executors.Judge(executor, success, m_now);
+  } else {
+    executor.pool->executors.Refresh(executor, m_now);
+  }
+  MarkDirty(*executor.pool);
+}
+
+void Engine::Answer(RequestRecord& record) {
+  record.verdict = Verdict::kAnswered;
+  End(record, {});
+}
+
+void Engine::RetryIfIdempotent(RequestRecord& record) {
+  if (record.idempotent && record.queue->policy.idempotent) return Retry(record);
+  End(record, std::string(FailureReason(record.verdict)));
+}
+
+void Engine::GiveUp(RequestRecord& record) {
+  End(record, "the entry gave the request up before it was sent", kRetryAfterFailure);
+}
+
+void Engine::Retry(RequestRecord& record) {
+  const int max_attempts = record.queue->policy.max_attempts;
+  if (CountTrustedFailures(record) >= kCondemningExecutors) {
+    ForgiveExecutors(record);
+    record.verdict = Verdict::kFailed;
+    return End(record, "can never run: it failed on 3 different healthy executors");
+  }
+  if (CountAttempts(record) >= max_attempts ||
+      record.attempts >= max_attempts * kSickAttemptsFactor) {
+    return End(record, std::string(FailureReason(record.verdict)), kRetryAfterFailure);
+  }
+  if (!record.queue->declared) return End(record, "the queue was removed from the configuration");
+  if (!record.team->declared) return End(record, "the team was removed from the configuration");
+  if (m_now >= record.deadline || IsHopeless(record, m_now)) {
+    return End(record, "the deadline leaves no time for another attempt", kRetryAfterFailure);
+  }
+  if (!record.queue->pool->retry_budget.Take(m_now)) {
+    return End(record, "the pool's retry budget is used up", kRetryAfterFailure);
+  }
+  record.expires = std::min(record.deadline, m_now + record.queue->policy.wait_limit);
+  Enqueue(record, Place::kRetrying);
+}
+
+const Executor* Engine::FindTrusted(const InstanceId& id) const {
+  const auto item = m_executors.find(id);
+  if (item == m_executors.end() || !item->second->health.IsTrusted()) return nullptr;
+  return item->second.get();
+}
+
+int Engine::CountTrustedFailures(const RequestRecord& record) const {
+  return static_cast<int>(std::count_if(
+      record.failed_on.begin(), record.failed_on.end(), [this](const FailedOn& failed) {
+        return failed.may_have_run && FindTrusted(failed.executor);
+      }));
+}
+
+int Engine::CountAttempts(const RequestRecord& record) const {
+  int attempts = 0;
+  for (const FailedOn& failed : record.failed_on) {
+    if (FindTrusted(failed.executor)) attempts += failed.attempts;
+  }
+  return attempts;
+}
+
+void Engine::ForgiveExecutors(const RequestRecord& record) {
+  for (const FailedOn& failed : record.failed_on) {
+    const auto item = m_executors.find(failed.executor);
+    if (item == m_executors.end()) continue;
+    Executor& executor = *item->second;
+    executor.health.ForgiveFailure();
+    if (executor.pool) executor.pool->executors.Refresh(executor, m_now);
+  }
+}
+
+void Engine::ExpireWaiting() {
+  while (const auto expired = m_expiry.FindExpired(m_now)) {
+    RequestRecord& record = *m_records.at(*expired);
+    End(record, "deadline passed in the queue", EstimateDrain(*record.queue));
+  }
+}
+
+void Engine::StartWaiting() {
+  for (PoolState* pool : std::exchange(m_dirty, {})) {
+    pool->dirty = false;
+    pool->executors.ReleaseProbes(m_now);
+    while (StartRetry(*pool) || StartQueued(*pool)) {
+    }
+  }
+}
+
+bool Engine::StartRetry(PoolState& pool) {
+  RequestRecord* first_blocked = nullptr;
+  for (int scanned = 0; scanned < kMaxRetriesScanned; ++scanned) {
+    RequestRecord* record = pool.retries.front();
+    const bool free = pool.executors.HasFree(true);
+    if (!record || record == first_blocked || !free) return false;
+    if (IsHopeless(*record, m_now)) {
+      End(*record, "the deadline leaves no time for another attempt", kRetryAfterFailure);
+      return true;
+    }
+    if (Executor* executor = ChooseExecutor(*record)) {
+      Dequeue(*record);
+      Start(*record, *executor);
+      return true;
+    }
+    if (!first_blocked) first_blocked = record;
+    pool.retries.Remove(*record);
+    pool.retries.PushBack(*record);
+  }
+  return false;
+}
+
+bool Engine::StartQueued(PoolState& pool) {
+  if (!pool.executors.HasFree(true)) return false;
+  const bool others = pool.executors.HasFree(false);
+  ClassOrder::Mask startable{};
+  for (size_t index = 0; index < kPriorityCount; ++index) {
+    const bool may_start = others || index == IndexOf(Priority::kUrgent);
+    startable[index] = may_start && !pool.classes[index].empty();
+  }
+  while (std::find(startable.begin(), startable.end(), true) != startable.end()) {
+    const Priority priority = pool.order.Next(startable);
+    ClassQueue& queue = pool.classes[IndexOf(priority)];
+    RequestRecord& record = queue.Front();
+    if (IsHopeless(record, m_now)) {
+      End(record, "the deadline can not be met", EstimateDrain(*record.queue));
+      return true;
+    }
+    Executor* executor = ChooseExecutor(record);
+    if (!executor) {
+      startable[IndexOf(priority)] = false;
+      continue;
+    }
+    const QueueState& from = *record.queue;
+    record.charged = ToSeconds(from.run_times.Typical(from.policy.declared_run_time));
+    queue.Charge(record.team->index, record.charged);
+    pool.order.Charge(priority, record.charged, startable);
+    Dequeue(record);
+    pool.retry_budget.CountFirstAttempt(m_retry_ratio);
+    Start(record, *executor);
+    return true;
+  }
+  return false;
+}
+
+void Engine::Start(RequestRecord& record, Executor& executor) {
+  record.place = Place::kRunning;
+  record.executor = &executor;
+  record.started = m_now;
+  if (record.attempts > 0) record.charged = 0;
+  ++record.attempts;
+  executor.pool->executors.Occupy(executor, record.priority == Priority::kUrgent, m_now);
+  m_actions.push_back(
+      StartAttempt{.number = record.number, .executor = executor.id, .attempt = record.attempts});
+}
+
+Executor* Engine::ChooseExecutor(const RequestRecord& record) const {
+  const bool urgent = record.priority == Priority::kUrgent;
+  if (!record.pool->executors.HasFree(urgent)) return nullptr;
+  std::vector<const Executor*> avoid;
+  for (const FailedOn& failed : record.failed_on) {
+    const auto item = m_executors.find(failed.executor);
+    if (item == m_executors.end()) continue;
+    const Executor& executor = *item->second;
+    if (executor.pool == record.pool && executor.offer.limit > 0) avoid.push_back(&executor);
+  }
+  return record.pool->executors.Choose(
+      {.avoid = avoid, .urgent = urgent, .may_probe = record.idempotent && record.attempts == 0},
+      m_now);
+}
+
+void Engine::Enqueue(RequestRecord& record, Place place) {
+  QueueState& queue = *record.queue;
+  record.place = place;
+  record.pool = queue.pool;
+  record.priority = queue.policy.priority;
+  record.work = ToSeconds(queue.run_times.Optimistic(m_now));
+  if (place == Place::kRetrying) {
+    record.pool->retries.PushBack(record);
+  } else {
+    ClassQueue& waiting = record.pool->classes[IndexOf(record.priority)];
+    if (waiting.empty()) record.pool->order.Activate(record.priority);
+    waiting.Push(record);
+  }
+  m_expiry.Add(queue.index, record.expires, record.number);
+  ++queue.waiting;
+  ++record.pool->waiting;
+  ++m_waiting;
+  MarkDirty(*record.pool);
+}
+
+void Engine::Dequeue(RequestRecord& record) {
+  if (record.place == Place::kRetrying) {
+    record.pool->retries.Remove(record);
+  } else {
+    record.pool->classes[IndexOf(record.priority)].Remove(record);
+  }
+  record.place = Place::kNone;
+  m_expiry.Remove(record.queue->index, record.expires, record.number);
+  --record.queue->waiting;
+  --record.pool->waiting;
+  --m_waiting;
+}
+
+void Engine::End(RequestRecord& record, std::string reason, Duration retry_after) {
+  if (record.place != Place::kNone) Dequeue(record);
+  m_actions.push_back(EndRequest{.number = record.number,
+                                 .verdict = record.verdict,
+                                 .reason = std::move(reason),
+                                 .retry_after = retry_after});
+  Forget(record);
+}
+
+void Engine::Refuse(RequestNumber number, std::string reason, Duration retry_after) {
+  m_actions.push_back(EndRequest{.number = number,
+                                 .verdict = Verdict::kNotRun,
+                                 .reason = std::move(reason),
+                                 .retry_after = retry_after});
+}
+
+void Engine::Forget(RequestRecord& record) { m_records.erase(record.number); }
+
+void Engine::MarkDirty(PoolState& pool) {
+  if (std::exchange(pool.dirty, true)) return;
+  m_dirty.push_back(&pool);
+}
+
+QueueState& Engine::QueueOf(const QueueName& name) {
+  auto& queue = m_queues[name];
+  if (!queue) {
+    queue = std::make_unique<QueueState>();
+    queue->index = static_cast<uint32_t>(m_queues.size() - 1);
+    queue->name = name;
+  }
+  return *queue;
+}
+
+TeamState& Engine::TeamOf(const TeamName& name) {
+  auto& team = m_teams[name];
+  if (!team) {
+    team = std::make_unique<TeamState>();
+    team->index = static_cast<uint32_t>(m_teams.size() - 1);
+  }
+  return *team;
+}
+
+PoolState& Engine::PoolOf(const PoolName& name) {
+  auto& pool = m_pools[name];
+  if (!pool) pool = std::make_unique<PoolState>();
+  return *pool;
+}
+
+}  // namespace citronferry::dispatch
--- /dev/null
+++ b/src/decisions/dispatch/internal/engine.h
@@ -0,0 +1,98 @@
+#ifndef CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_ENGINE_H_
+#define CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_ENGINE_H_
+
+#include <array>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "decisions/dispatch/internal/expiry_index.h"
+#include "decisions/dispatch/internal/state.h"
+
+namespace citronferry::dispatch {
+
+/// Handles the events of the dispatcher.
+class Engine {
+ public:
+  std::vector<Action> Handle(const Event& event, TimePoint now);
+
+  size_t queued() const { return m_waiting; }
+  size_t running() const { return m_records.size() - m_waiting; }
+  std::map<PoolName, size_t> WaitingByPool() const;
+  std::vector<ExecutorLoad> ReadExecutors() const;
+  std::vector<QueueLoad> ReadQueues() const;
+
+ private:
+  using Outcome = void (Engine::*)(RequestRecord&);
+
+  /// What follows from the outcome of an attempt.
+  struct OutcomeRule {
+    Outcome decide;
+    Verdict known = Verdict::kNotRun;  ///< What is known about the request afterwards.
+    bool judges_executor = true;
+    bool may_have_run = false;
+  };
+  static const std::array<OutcomeRule, kAttemptOutcomeCount> kOutcomeRules;
+
+  void OnPolicyChanged(const Event& event);
+  void OnExecutorsChanged(const Event& event);
+  void OnRequestArrived(const Event& event);
+  void OnRequestCancelled(const Event& event);
+  void OnAttemptEnded(const Event& event);
+  void OnTick(const Event& event);
+
+  void UpdateExecutor(Executor& executor, const ExecutorState& state);
+  void DeclareQueues(const Policy& policy);
+  void DeclareTeams(const Policy& policy);
+  void DropHopeless(const QueueState& queue);
+
+  void Answer(RequestRecord& record);
+  void RetryIfIdempotent(RequestRecord& record);
+  void GiveUp(RequestRecord& record);
+
+  void LearnRunTime(const RequestRecord& record, AttemptOutcome outcome);
+  void ReleaseSlot(RequestRecord& record, const OutcomeRule& rule);
+  void Retry(RequestRecord& record);
+  const Executor* FindTrusted(const InstanceId& id) const;
+  int CountTrustedFailures(const RequestRecord& record) const;
+  int CountAttempts(const RequestRecord& record) const;
+  void ForgiveExecutors(const RequestRecord& record);
+
+  void ExpireWaiting();
+  void StartWaiting();
+  bool StartRetry(PoolState& pool);
+  bool StartQueued(PoolState& pool);
+  void Start(RequestRecord& record, Executor& executor);
+  Executor* ChooseExecutor(const RequestRecord& record) const;
+
+  void Enqueue(RequestRecord& record, RequestRecord::Place place);
+  void Dequeue(RequestRecord& record);
+  /// Ends a request with what is known about it.
+  void End(RequestRecord& record, std::string reason, Duration retry_after = {});
+  void Refuse(RequestNumber number, std::string reason, Duration retry_after = {});
+  void Forget(RequestRecord& record);
+  void MarkDirty(PoolState& pool);
+
+  QueueState& QueueOf(const QueueName& name);
+  TeamState& TeamOf(const TeamName& name);
+  PoolState& PoolOf(const PoolName& name);
+
+  std::map<QueueName, std::unique_ptr<QueueState>> m_queues;
+  std::map<TeamName, std::unique_ptr<TeamState>> m_teams;
+  std::map<PoolName, std::unique_ptr<PoolState>> m_pools;
+  std::map<InstanceId, std::unique_ptr<Executor>> m_executors;
+  std::unordered_map<RequestNumber, std::unique_ptr<RequestRecord>> m_records;
+  ExpiryIndex m_expiry;
+  std::vector<PoolState*> m_dirty;
+  std::vector<Action> m_actions;
+  double m_retry_ratio = 0.1;
+  bool m_any_team = true;  ///< The policy declares no teams, so that all are equal.
+  size_t m_waiting = 0;
+  uint64_t m_list = 0;  ///< Number of the latest list of executors.
+  TimePoint m_now{};
+};
+
+}  // namespace citronferry::dispatch
+
+#endif  // CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_ENGINE_H_
--- /dev/null
+++ b/src/decisions/dispatch/internal/expiry_index.h
@@ -0,0 +1,32 @@
+#ifndef CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_EXPIRY_INDEX_H_
+#define CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_EXPIRY_INDEX_H_
+
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "decisions/dispatch/types.h"
+
+namespace citronferry::dispatch {
+
+/// Waiting requests by the time at which they expire, for each queue and over all queues.
+class ExpiryIndex {
+ public:
+  void Add(uint32_t queue, TimePoint expires, RequestNumber number);
+  void Remove(uint32_t queue, TimePoint expires, RequestNumber number);
+  /// @return a request that has expired, if any.
+  std::optional<RequestNumber> FindExpired(TimePoint now) const;
+  /// @return the request of a queue that expires first, if any.
+  std::optional<RequestNumber> First(uint32_t queue) const;
+
+ private:
+  using Entries = std::set<std::pair<TimePoint, RequestNumber>>;
+
+  std::vector<Entries> m_queues;
+  std::set<std::pair<TimePoint, uint32_t>> m_heads;  ///< First expiry of each queue.
+};
+
+}  // namespace citronferry::dispatch
+
+#endif  // CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_EXPIRY_INDEX_H_
--- /dev/null
+++ b/src/decisions/dispatch/internal/request_record.h
@@ -0,0 +1,77 @@
+#ifndef CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_REQUEST_RECORD_H_
+#define CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_REQUEST_RECORD_H_
+
+#include <vector>
+
+#include "decisions/dispatch/types.h"
+
+namespace citronferry::dispatch {
+
+struct Executor;
+struct PoolState;
+struct QueueState;
+struct TeamState;
+
+/// An executor on which a request did not succeed.
+struct FailedOn {
+  InstanceId executor;
+  int attempts = 0;
+  bool may_have_run = false;
+};
+
+/// A request between its arrival and its end.
+struct RequestRecord {
+  enum class Place { kNone, kQueued, kRetrying, kRunning };
+
+  RequestNumber number = 0;
+  TimePoint deadline{};
+  TimePoint expires{};  ///< Latest start: the deadline or the wait limit.
+  QueueState* queue = nullptr;
+  TeamState* team = nullptr;
+  Place place = Place::kNone;
+  bool cancelled = false;
+  bool idempotent = false;
+  int attempts = 0;
+  Verdict verdict = Verdict::kNotRun;  ///< What is known if no further attempt is made.
+  std::vector<FailedOn> failed_on;
+
+  // Valid while it waits or runs; the policy of the queue may change meanwhile.
+  PoolState* pool = nullptr;
+  Priority priority = Priority::kInteractive;
+  double work = 0;  ///< Optimistic slot time in seconds, as counted in the queue.
+
+  Executor* executor = nullptr;  ///< While it runs.
+  TimePoint started{};
+  double charged = 0;  ///< Slot time in seconds that the team paid for the attempt.
+
+  RequestRecord* previous = nullptr;  ///< Links of the list that holds the record.
+  RequestRecord* next = nullptr;
+};
+
+/// Doubly linked list through the records: removal from the middle costs no search.
+class RecordList {
+ public:
+  bool empty() const { return !m_first; }
+  RequestRecord* front() const { return m_first; }
+
+  void PushBack(RequestRecord& record) {
+    record.previous = m_last;
+    record.next = nullptr;
+    (m_last ? m_last->next : m_first) = &record;
+    m_last = &record;
+  }
+
+  void Remove(RequestRecord& record) {
+    (record.previous ? record.previous->next : m_first) = record.next;
+    (record.next ? record.next->previous : m_last) = record.previous;
+    record.previous = record.next = nullptr;
+  }
+
+ private:
+  RequestRecord* m_first = nullptr;
+  RequestRecord* m_last = nullptr;
+};
+
+}  // namespace citronferry::dispatch
+
+#endif  // CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_REQUEST_RECORD_H_
--- /dev/null
+++ b/src/decisions/dispatch/internal/state.h
@@ -0,0 +1,46 @@
+#ifndef CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_STATE_H_
+#define CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_STATE_H_
+
+#include <array>
+
+#include "decisions/dispatch/internal/class_order.h"
+#include "decisions/dispatch/internal/class_queue.h"
+#include "decisions/dispatch/internal/executor_set.h"
+#include "decisions/dispatch/internal/retry_budget.h"
+#include "decisions/dispatch/internal/run_time_estimator.h"
+
+namespace citronferry::dispatch {
+
+/// A team, kept after it has left the policy because running requests refer to it.
+struct TeamState {
+  uint32_t index = 0;
+  double weight = 1;
+  bool declared = false;
+};
+
+/// A pool and what waits for it.
+struct PoolState {
+  PoolPolicy policy;
+  std::array<ClassQueue, kPriorityCount> classes;
+  ClassOrder order;
+  RecordList retries;
+  RetryBudget retry_budget;
+  ExecutorSet executors;
+  size_t waiting = 0;
+  bool dirty = false;  ///< Something may be able to start.
+};
+
+/// A queue, kept after it has left the policy because running requests refer to it.
+struct QueueState {
+  uint32_t index = 0;
+  QueueName name;
+  QueuePolicy policy;
+  PoolState* pool = nullptr;
+  bool declared = false;
+  size_t waiting = 0;
+  RunTimeEstimator run_times;
+};
+
+}  // namespace citronferry::dispatch
+
+#endif  // CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_STATE_H_
--- a/src/decisions/dispatch/tests/dispatcher_test.cc
+++ b/src/decisions/dispatch/tests/dispatcher_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace citronferry::dispatch {
 namespace {
 
@@ -63,5 +65,147 @@
   EXPECT_TRUE(Arrive(1, "tally").empty());
 }
 
+// Guards against slots that are used twice when an executor leaves the list and comes back, and
+// against a drain that is reported complete while an attempt runs.
+TEST_F(DispatcherTest, AttemptsOfAnExecutorThatDisappearsStayKnown) {
+  ASSERT_EQ(Arrive(1, "tally").size(), 1u);
+  SetExecutors({});
+  ASSERT_EQ(m_dispatcher.ReadExecutors().size(), 1u);
+  EXPECT_EQ(m_dispatcher.ReadExecutors()[0].in_use, 1);
+  SetExecutors({{.id = InstanceId("i1"), .pool = PoolName("billing"), .slots = 1}});
+  EXPECT_TRUE(Arrive(2, "tally").empty());
+  SetExecutors({});
+  EXPECT_EQ(EndAttempt(1, AttemptOutcome::kAnswered).size(), 1u);
+  EXPECT_TRUE(m_dispatcher.ReadExecutors().empty());
+}
+
+// Guards against reporting "not run" for a request whose earlier attempt may have run.
+TEST_F(DispatcherTest, RequestThatMayHaveRunIsNeverReportedAsNotRun) {
+  ASSERT_EQ(Arrive(1, "manifest").size(), 1u);
+  m_now += 1s;
+  SetExecutors({});
+  EXPECT_TRUE(EndAttempt(1, AttemptOutcome::kUnknown).empty());
+  m_now += 2min;
+  const auto actions = m_dispatcher.Handle(Tick{}, m_now);
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_EQ(std::get<EndRequest>(actions[0]).verdict, Verdict::kUnknown);
+}
+
+// Guards against waiting requests that vanish, and running ones that are started again, when their
+// queue or team leaves the policy.
+TEST_F(DispatcherTest, RemovalFromThePolicyEndsWaitingRequests) {
+  for (RequestNumber number = 1; number <= 3; ++number) Arrive(number, "manifest");
+  Policy policy;
+  policy.queues[QueueName("manifest")] = {.pool = PoolName("billing"), .idempotent = true};
+  policy.teams[TeamName("other")] = {};
+  const auto without_team = m_dispatcher.Handle(PolicyChanged{policy}, m_now);
+  ASSERT_EQ(without_team.size(), 2u);
+  EXPECT_EQ(std::get<EndRequest>(without_team[0]).reason,
+            "the team was removed from the configuration");
+  m_dispatcher.Handle(PolicyChanged{}, m_now);
+  const auto ended = EndAttempt(1, AttemptOutcome::kNotRun);
+  ASSERT_EQ(ended.size(), 1u);
+  EXPECT_EQ(std::get<EndRequest>(ended[0]).verdict, Verdict::kNotRun);
+  EXPECT_EQ(std::get<EndRequest>(Arrive(4, "manifest")[0]).reason, "unknown queue");
+}
+
+// Guards against a full queue of requests that can no longer be answered in time.
+TEST_F(DispatcherTest, FullQueueDropsWhatMissesItsDeadline) {
+  Policy policy;
+  policy.queues[QueueName("tally")] = {.pool = PoolName("billing"), .max_queued = 1};
+  m_dispatcher.Handle(PolicyChanged{policy}, m_now);
+  RequestNumber number = 0;
+  for (int i = 0; i < 8; ++i) {
+    Arrive(++number, "tally");
+    m_now += 20s;
+    EndAttempt(number, AttemptOutcome::kAnswered);
+  }
+  Arrive(++number, "tally");
+  const RequestNumber waiting = ++number;
+  m_dispatcher.Handle(
+      RequestArrived{
+          {.number = waiting, .queue = QueueName("tally"), .team{}, .deadline = m_now + 25s}},
+      m_now);
+  EXPECT_EQ(std::get<EndRequest>(Arrive(++number, "tally")[0]).reason, "the queue is full");
+  m_now += 15s;
+  const auto actions = Arrive(++number, "tally");
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_EQ(std::get<EndRequest>(actions[0]).number, waiting);
+}
+
+// Guards against ejecting executors because of a job that fails everywhere, against retrying that
+// job for ever, and against retrying on the executor that has failed it.
+TEST_F(DispatcherTest, JobThatFailsOnThreeHealthyExecutorsCanNeverRun) {
+  SetExecutors({{.id = InstanceId("i1"), .pool = PoolName("billing"), .slots = 8},
+                {.id = InstanceId("i2"), .pool = PoolName("billing"), .slots = 8},
+                {.id = InstanceId("i3"), .pool = PoolName("billing"), .slots = 8}});
+  for (RequestNumber number = 101; number <= 109; ++number) {
+    Arrive(number, "manifest");
+    EndAttempt(number, AttemptOutcome::kAnswered);
+  }
+  for (RequestNumber number = 1; number <= 10; ++number) {
+    std::set<InstanceId> tried;
+    auto actions = Arrive(number, "manifest");
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      ASSERT_EQ(actions.size(), 1u);
+      tried.insert(std::get<StartAttempt>(actions[0]).executor);
+      m_now += 2s;
+      actions = EndAttempt(number, AttemptOutcome::kFailed);
+    }
+    EXPECT_EQ(tried.size(), 3u);
+    EXPECT_EQ(std::get<EndRequest>(actions[0]).verdict, Verdict::kFailed);
+    EXPECT_EQ(std::get<EndRequest>(actions[0]).reason,
+              "can never run: it failed on 3 different healthy executors");
+  }
+}
+
+// Guards against a retry on the executor that has just failed the request, which is the one with a
+// free slot, while another could take it soon.
+TEST_F(DispatcherTest, RetryWaitsForAnotherExecutor) {
+  SetExecutors({{.id = InstanceId("i1"), .pool = PoolName("billing"), .slots = 1},
+                {.id = InstanceId("i2"), .pool = PoolName("billing"), .slots = 1}});
+  const auto first = std::get<StartAttempt>(Arrive(1, "manifest")[0]);
+  const auto second = std::get<StartAttempt>(Arrive(2, "manifest")[0]);
+  EXPECT_TRUE(EndAttempt(1, AttemptOutcome::kFailed).empty());
+  EXPECT_EQ(std::get<StartAttempt>(Arrive(3, "manifest")[0]).executor, first.executor);
+  const auto actions = EndAttempt(2, AttemptOutcome::kAnswered);
+  ASSERT_EQ(actions.size(), 2u);
+  EXPECT_EQ(std::get<StartAttempt>(actions[1]).number, 1u);
+  EXPECT_EQ(std::get<StartAttempt>(actions[1]).executor, second.executor);
+}
+
+// Guards against condemning a request for the failures of executors that fail everything.
+TEST_F(DispatcherTest, FailuresOfSickExecutorsDoNotCountAgainstTheRequest) {
+  std::vector<ExecutorState> executors;
+  for (const char* id : {"s1", "s2", "s3", "h1", "h2", "h3", "h4"}) {
+    executors.push_back({.id = InstanceId(id), .pool = PoolName("billing"), .slots = 8});
+  }
+  SetExecutors(executors);
+  const auto is_sick = [](const InstanceId& id) { return id.view().starts_with('s'); };
+  RequestNumber number = 0;
+  for (int i = 0; i < 400; ++i) {
+    auto actions = Arrive(++number, "manifest");
+    while (const auto* start = std::get_if<StartAttempt>(&actions.at(0))) {
+      m_now += 500ms;
+      actions = EndAttempt(
+          number, is_sick(start->executor) ? AttemptOutcome::kFailed : AttemptOutcome::kAnswered);
+    }
+    EXPECT_EQ(std::get<EndRequest>(actions.at(0)).verdict, Verdict::kAnswered);
+  }
+}
+
+// Guards against a wave of callers that go away and thereby eject the executor they used.
+TEST_F(DispatcherTest, CancelledAttemptsDoNotJudgeTheExecutor) {
+  SetExecutors({{.id = InstanceId("i1"), .pool = PoolName("billing"), .slots = 8},
+                {.id = InstanceId("i2"), .pool = PoolName("billing"), .slots = 1}});
+  Arrive(1, "tally");
+  Arrive(2, "tally");  // i2 is in use from here on.
+  for (RequestNumber number = 3; number <= 40; ++number) {
+    ASSERT_EQ(std::get<StartAttempt>(Arrive(number, "manifest").at(0)).executor.view(), "i1");
+    EXPECT_TRUE(m_dispatcher.Handle(RequestCancelled{number}, m_now).empty());
+    EXPECT_TRUE(EndAttempt(number, AttemptOutcome::kUnknown).empty());
+  }
+}
+
 }  // namespace
 }  // namespace citronferry::dispatch
--- a/src/decisions/dispatch/types.h
+++ b/src/decisions/dispatch/types.h
@@ -28,7 +28,9 @@
 };
 
 struct PoolPolicy {
-  double urgent_reserve = 0.25;  ///< Share of the slots kept free for urgent work.
+  /// Share of the slots kept free for urgent work, if the pool has an urgent queue. Rounded up, but
+  /// one slot is always left for other work.
+  double urgent_reserve = 0.25;
 };
 
 struct TeamPolicy {
@@ -38,8 +40,8 @@
 struct Policy {
   std::map<QueueName, QueuePolicy> queues;
   std::map<PoolName, PoolPolicy> pools;
-  std::map<TeamName, TeamPolicy> teams;
-  double retry_budget = 0.1;  ///< Retries allowed for each first attempt.
+  std::map<TeamName, TeamPolicy> teams;  ///< If empty, every team is accepted with weight 1.
+  double retry_budget = 0.1;             ///< Retries allowed for each first attempt.
 };
 
 struct ExecutorState {
@@ -49,19 +51,30 @@
   bool leaving = false;  ///< Receives no new work.
 };
 
-/// Use of an executor by this entry.
+/// Use of an executor by this entry. An executor that has left the list is reported with no slots
+/// until its last attempt has ended.
 struct ExecutorLoad {
   InstanceId id;
   int slots = 0;
   int in_use = 0;
+  bool ejected = false;
+};
+
+/// State of a queue.
+struct QueueLoad {
+  QueueName name;
+  size_t waiting = 0;
+  Duration typical_run_time{};
 };
 
 enum class AttemptOutcome {
-  kAnswered,  ///< The backend server's answer was received.
-  kNotRun,    ///< Certainly not run.
-  kFailed,    ///< The backend server reported a failure of its own.
-  kUnknown,   ///< May or may not have run.
+  kAnswered,   ///< The backend server's answer was received.
+  kNotRun,     ///< Certainly not run.
+  kFailed,     ///< The backend server reported a failure of its own.
+  kUnknown,    ///< May or may not have run.
+  kWithdrawn,  ///< Given up by this entry before it was sent; says nothing about the executor.
 };
+inline constexpr size_t kAttemptOutcomeCount = 5;
 
 struct Request {
   RequestNumber number = 0;
@@ -81,6 +94,7 @@
 struct RequestArrived {
   Request request;
 };
+/// The request gets no further action. If it is running, its slot stays in use until AttemptEnded.
 struct RequestCancelled {
   RequestNumber number = 0;
 };
@@ -107,7 +121,7 @@
   kAnswered,
   kNotRun,
   kUnknown,
-  kFailed,  ///< Can never run; every retry would fail too.
+  kFailed,  ///< The backend server failed it, or it can never run; the reason tells which.
 };
 
 /// The request has ended.
