--- a/src/decisions/dispatch/internal/executor_health.cc
+++ b/src/decisions/dispatch/internal/executor_health.cc
@@ -30,6 +30,7 @@
   m_recorded_at = now;
   m_successes = m_successes * factor + (success ? 1 : 0);
   m_failures = m_failures * factor + (success ? 0 : 1);
+  if (!success) m_penalty_until = now + kFirstPause;
   if (m_state == State::kHealthy) return;
   if (success) {
     Recover(now);
@@ -48,14 +49,20 @@
   m_probe_at = now + std::min(kLongestPause, kFirstPause * (1 << m_ejections));
   m_ejections = std::min(m_ejections + 1, kMaxDoublings);
   m_state = State::kEjected;
+  m_penalty_until.reset();
   m_successes = 0;
   m_failures = 0;
 }
 
-void ExecutorHealth::Reinstate() {
+void ExecutorHealth::Reinstate(TimePoint now) {
   m_state = State::kHealthy;
   m_successes = 0;
   m_failures = kReinstatedFailures;
+  m_penalty_until = now + kFirstPause;
+}
+
+void ExecutorHealth::EndPenaltyIfDue(TimePoint now) {
+  if (m_penalty_until && now >= *m_penalty_until) m_penalty_until.reset();
 }
 
 bool ExecutorHealth::IsFailing() const {
--- a/src/decisions/dispatch/internal/executor_health.h
+++ b/src/decisions/dispatch/internal/executor_health.h
@@ -1,6 +1,8 @@
 #ifndef CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_EXECUTOR_HEALTH_H_
 #define CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_EXECUTOR_HEALTH_H_
 
+#include <optional>
+
 #include "base/time.h"
 
 namespace citronferry::dispatch {
@@ -14,8 +16,13 @@
   /// Takes back the latest failure, which turned out to be the request's own.
   void ForgiveFailure();
   void Eject(TimePoint now);
-  /// Returns all slots of an ejected executor; it stays failing until it succeeds.
-  void Reinstate();
+  /// Returns all slots; the executor stays failing until it succeeds.
+  void Reinstate(TimePoint now);
+  /// @return until when past failures count in the order of choice. Without an end, an executor
+  /// that
+  ///   ranks behind the others would receive nothing for ever under a light load.
+  std::optional<TimePoint> penalty_until() const { return m_penalty_until; }
+  void EndPenaltyIfDue(TimePoint now);
 
   /// @return true when most recent attempts failed, whether ejected or not.
   bool IsFailing() const;
@@ -28,8 +35,11 @@
   bool IsTrusted() const {
     return m_state == State::kHealthy && m_successes > 0 && m_successes >= m_failures;
   }
-  /// @return the share of recent attempts that failed, leaning to 0 when there are few.
-  double FailureRate() const { return m_failures / (m_successes + m_failures + 1); }
+  /// @return the share of recent attempts that failed, leaning to 0 when there are few; 0 once the
+  ///   penalty has ended.
+  double Penalty() const {
+    return m_penalty_until ? m_failures / (m_successes + m_failures + 1) : 0;
+  }
   /// @return how many of the executor's slots may be used.
   int SlotLimit(int slots, TimePoint now) const;
 
@@ -44,6 +54,7 @@
   TimePoint m_recorded_at{};
   TimePoint m_probe_at{};
   TimePoint m_recovered_at{};
+  std::optional<TimePoint> m_penalty_until;
   int m_ejections = 0;       ///< In a row, without a long healthy time between them.
   int m_recovery_slots = 0;  ///< Slots allowed while recovering.
   int m_recovery_successes = 0;
--- a/src/decisions/dispatch/internal/executor_set.cc
+++ b/src/decisions/dispatch/internal/executor_set.cc
@@ -41,7 +41,7 @@
   offer.is_probe = health.IsProbeDue(now);
   if (executor.in_use < offer.limit) {
     const int load = executor.in_use * kRankScale / offer.limit;
-    const int failures = static_cast<int>(health.FailureRate() * kRankScale);
+    const int failures = static_cast<int>(health.Penalty() * kRankScale);
     offer.rank.emplace(load + failures, executor.last_used);
     (offer.is_probe ? m_probes : m_free).emplace(*offer.rank, &executor);
   }
@@ -50,8 +50,12 @@
     m_ejected.emplace(executor.id, &executor);
     if (!offer.is_probe) {
       offer.paused_until = health.probe_at();
-      m_pauses.emplace(std::pair(*offer.paused_until, executor.id), &executor);
     }
+  } else {
+    offer.paused_until = health.penalty_until();
+  }
+  if (offer.paused_until) {
+    m_pauses.emplace(std::pair(*offer.paused_until, executor.id), &executor);
   }
   ++m_present;
   m_capacity += offer.limit;
@@ -73,6 +77,8 @@
   if (success || !executor.offer.failing) return;
   // When most of a pool fails, the cause lies elsewhere, and the rest could not carry the load.
   if (m_failing * 2 > m_present) {
+    executor.health.Reinstate(now);
+    Refresh(executor, now);
     ReinstateAll(now);
   } else if (!executor.health.IsEjected()) {
     executor.health.Eject(now);
@@ -82,7 +88,9 @@
 
 void ExecutorSet::ReleaseProbes(TimePoint now) {
   while (!m_pauses.empty() && m_pauses.begin()->first.first <= now) {
-    Refresh(*m_pauses.begin()->second, now);
+    Executor& executor = *m_pauses.begin()->second;
+    executor.health.EndPenaltyIfDue(now);
+    Refresh(executor, now);
   }
 }
 
@@ -126,7 +134,7 @@
   std::vector<Executor*> ejected;
   for (const auto& [key, executor] : m_ejected) ejected.push_back(executor);
   for (Executor* executor : ejected) {
-    executor->health.Reinstate();
+    executor->health.Reinstate(now);
     Refresh(*executor, now);
   }
 }
--- a/src/decisions/dispatch/internal/executor_set.h
+++ b/src/decisions/dispatch/internal/executor_set.h
@@ -62,7 +62,7 @@
   void Occupy(Executor& executor, bool urgent, TimePoint now);
   /// Records how an attempt ended and ejects or reinstates executors accordingly.
   void Judge(Executor& executor, bool success, TimePoint now);
-  /// Offers ejected executors whose pause is over for a probe.
+  /// Offers ejected executors whose pause is over for a probe, and ends due penalties.
   void ReleaseProbes(TimePoint now);
 
   /// @return true when a slot is free for urgent work or for any work.
@@ -84,7 +84,7 @@
   Ranked m_free;    ///< Executors with a free slot.
   Ranked m_probes;  ///< Ejected executors that wait for a probe.
   std::map<InstanceId, Executor*> m_ejected;
-  std::map<std::pair<TimePoint, InstanceId>, Executor*> m_pauses;  ///< Ejected, by end of pause.
+  std::map<std::pair<TimePoint, InstanceId>, Executor*> m_pauses;  ///< By end of pause.
   int m_capacity = 0;
   int m_usable = 0;
   int m_present = 0;
--- a/src/decisions/dispatch/tests/dispatcher_simulation_test.cc
+++ b/src/decisions/dispatch/tests/dispatcher_simulation_test.cc
@@ -106,6 +106,7 @@
     for (int i = 0; i < 6; ++i) m_simulation.Arrive("booking", "a");
     m_simulation.Advance(100ms);
   }
+  m_simulation.Advance(1s);  // The last requests may still run.
   EXPECT_LE(CountAttempts(sick), 20u) << "of 3,600 requests";
   EXPECT_EQ(Count([](const auto& t) {
               return t.ends.size() != 1 || t.ends[0].verdict != Verdict::kAnswered;
