Check the whole environment document and describe changes in words

Cause: the parser took documents that could not work, such as a queue of an undeclared service, an instance in two pools, a wave without a budget, or a deadline shorter than the run time, and process settings with host names or two listeners on one endpoint.

Each section is now one table of fields that point to members. Reading, the reference page (docs/settings.md) and the description of changes use the same tables, so they can not disagree; a test compares the page with the parser. Each section has a table of rules that see the whole document. A path such as "queue[0].deadline" maps to a line, and all faults are reported at once in the order of their lines. Boost.LEAF carries faults of nested values (URL, endpoint, address, port) to the reader, which knows the key and the line.

New keys: min_availability and window of a service, instance sizes of a pool, requirements and surges of a queue, max_in_flight and queues of a team, daily window, period and maintenance time of a wave, and promote_to.

Ruled out: a separate list of keys for the page, since it could drift; refusing wait_limit above deadline, since the default of 30s would make every short deadline need a second key; a list of environments, since promotion has one direction.

The test of several faults expects a third one now, since an undeclared service is a fault.

--- a/src/document/document.h
+++ b/src/document/document.h
@@ -1,6 +1,7 @@
 #ifndef CITRONFERRY_DOCUMENT_DOCUMENT_H_
 #define CITRONFERRY_DOCUMENT_DOCUMENT_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,8 +17,10 @@
 struct Service {
   ServiceName name;
   PoolName pool;
-  int max_unavailable = 1;  ///< Instances of its pool that may be out, planned or not.
-  int reserve = 1;          ///< Part of max_unavailable kept back for unplanned failures.
+  int max_unavailable = 1;      ///< Instances of its pool that may be out, planned or not.
+  int reserve = 1;              ///< Part of max_unavailable kept back for unplanned failures.
+  double min_availability = 0;  ///< Share of instance time over the window; 0 sets no bound.
+  Duration window = 24h * 28;   ///< Time over which min_availability is measured.
 };
 
 struct Pool {
@@ -27,6 +30,8 @@
   int min_instances = 1;         ///< Moves never take the pool below this.
   double urgent_reserve = 0.25;  ///< Share of slots kept free for urgent work.
   double target_utilisation = 0.7;
+  int processors = 0;  ///< Processors of each instance; 0 when not declared.
+  int64_t memory = 0;  ///< Bytes of memory of each instance; 0 when not declared.
 };
 
 struct Queue {
@@ -40,12 +45,19 @@
   Duration declared_run_time = 1s;
   int max_queued = 1000;
   int max_attempts = 3;
+  int processors = 0;           ///< Processors that one request needs; 0 when not declared.
+  int64_t memory = 0;           ///< Bytes of memory that one request needs; 0 when not declared.
+  double mean_load = 0;         ///< Instances kept busy on average; 0 when not declared.
+  double surge_factor = 5;      ///< Load during a surge relative to the mean.
+  Duration surge_length = 10s;  ///< Length of one surge.
 };
 
 struct Team {
   TeamName name;
   double weight = 1.0;
-  std::string token_sha256;  ///< Lower-case hexadecimal digest of the team's bearer token.
+  int max_in_flight = 1000;       ///< Requests of the team that run at the same time.
+  std::vector<QueueName> queues;  ///< Queues that the team may use; empty allows every queue.
+  std::string token_sha256;       ///< Lower-case hexadecimal digest of the team's bearer token.
 };
 
 /// Order in which a wave takes instances out.
@@ -56,12 +68,18 @@
   std::vector<PoolName> pools;
   WaveOrder order = WaveOrder::kRackByRack;
   Duration instance_timeout = 15min;  ///< After this, a missing instance counts as failed.
-  int generation = 1;                 ///< Raising it starts the wave again.
+  Duration maintenance_time{};  ///< Usual time of one instance; instance_timeout if not declared.
+  Duration start{};             ///< Start of the daily window, after midnight UTC.
+  Duration end = 24h;           ///< End of the daily window; before start it is on the next day.
+  Duration every = 24h * 28;    ///< Period in which each instance is maintained once.
+  int generation = 1;           ///< Raising it starts the wave again.
 };
 
 /// Everything that operators declare for one environment.
 struct Document {
   std::string environment;
+  /// Environment to which the same text may be promoted; empty allows no promotion.
+  std::string promote_to;
   std::vector<Service> services;
   std::vector<Pool> pools;
   std::vector<Queue> queues;
@@ -84,6 +102,9 @@
 /// Parses and checks a document. Reports every fault at once.
 ParseResult ParseDocument(std::string_view text);
 
+/// @return whether a document may be in force in an environment.
+bool AllowsEnvironment(const Document& document, std::string_view environment);
+
 }  // namespace citronferry::document
 
 #endif  // CITRONFERRY_DOCUMENT_DOCUMENT_H_
--- a/src/document/internal/settings.cc
+++ b/src/document/internal/settings.cc
@@ -1,74 +1,162 @@
 #include "document/settings.h"
 
-#include <arpa/inet.h>
-
 #include <array>
-#include <charconv>
 
-#include "document/internal/toml_reader.h"
+#include "document/internal/sections.h"
 
 namespace citronferry::document {
 namespace {
 
-bool IsIpAddress(const std::string& text) {
-  std::array<unsigned char, sizeof(in6_addr)> buffer{};
-  return inet_pton(AF_INET, text.c_str(), buffer.data()) == 1 ||
-         inet_pton(AF_INET6, text.c_str(), buffer.data()) == 1;
+constexpr std::string_view kPath = "path";
+constexpr std::array<std::string_view, 4> kLogLevels{"debug", "info", "warning", "error"};
+
+constexpr std::array<Field<Settings>, 13> kFields{{
+    {"id", RequiredName<&Settings::id>(), "", "Identifies this entry."},
+    {"data_centre", RequiredName<&Settings::data_centre>(), "", "Data centre of this entry."},
+    {"environment", RequiredName<&Settings::environment>(), "",
+     "Environment whose document is in force on this entry."},
+    {"caller_listener", EndpointRule<Settings>{&Settings::caller_listener}, "",
+     "Listener for callers, behind the load balancer."},
+    {"admin_listener", EndpointRule<Settings>{&Settings::admin_listener}, "",
+     "Listener for operators and health checks."},
+    {"peer_listener", EndpointRule<Settings>{&Settings::peer_listener}, "",
+     "Listener for the other entries, which connect to exactly this address."},
+    {"platform_url",
+     TextOf<&Settings::platform_url>(&CheckUrl, "URL with an IP address and a port",
+                                     Presence::kRequired),
+     "", "Base URL of the platform's table service, object store and instance list."},
+    {"platform_token_file", TextOf<&Settings::platform_token_file>(&CheckText, kPath), "",
+     "File with the bearer token for the platform."},
+    {"operator_token_file", TextOf<&Settings::operator_token_file>(&CheckText, kPath), "",
+     "File with the bearer token that operators present. Required when `admin_listener` is not on "
+     "loopback."},
+    {"peer_key_file", TextOf<&Settings::peer_key_file>(&CheckText, kPath), "",
+     "File with the CURVE key pair of this entry. Required when `peer_listener` is not on "
+     "loopback."},
+    {"tls_certificate_file", TextOf<&Settings::tls_certificate_file>(&CheckText, kPath), "",
+     "PEM certificate chain of the caller listener. Needs `tls_key_file`."},
+    {"tls_key_file", TextOf<&Settings::tls_key_file>(&CheckText, kPath), "",
+     "PEM private key of the caller listener. Needs `tls_certificate_file`."},
+    {"log_level",
+     ChoiceRule<Settings>{
+         .names = kLogLevels,
+         .get =
+             [](const Settings& settings) {
+               return static_cast<size_t>(
+                   std::find(kLogLevels.begin(), kLogLevels.end(), settings.log_level) -
+                   kLogLevels.begin());
+             },
+         .assign = [](Settings& settings,
+                      size_t index) { settings.log_level = std::string(kLogLevels[index]); }},
+     "", "Least severe log lines that are written."},
+}};
+
+bool IsLoopback(const Endpoint& endpoint) {
+  return endpoint.address.starts_with("127.") || endpoint.address == "::1";
+}
+
+bool IsWildcard(const Endpoint& endpoint) {
+  return endpoint.address == "0.0.0.0" || endpoint.address == "::";
+}
+
+bool Overlap(const Endpoint& a, const Endpoint& b) {
+  // The kernel gives each listener with port 0 a port of its own.
+  if (a.port != b.port || a.port == 0) return false;
+  return a.address == b.address || IsWildcard(a) || IsWildcard(b);
+}
+
+std::vector<Fault> RequireSeparateListeners(const Settings& settings) {
+  struct Listener {
+    std::string_view key;
+    Endpoint Settings::*endpoint;
+  };
+  static constexpr std::array<Listener, 3> kListeners{
+      {{"caller_listener", &Settings::caller_listener},
+       {"admin_listener", &Settings::admin_listener},
+       {"peer_listener", &Settings::peer_listener}}};
+  std::vector<Fault> faults;
+  for (size_t i = 0; i < kListeners.size(); ++i) {
+    for (size_t j = 0; j < i; ++j) {
+      if (!Overlap(settings.*kListeners[i].endpoint, settings.*kListeners[j].endpoint)) continue;
+      faults.push_back(
+          {std::string(kListeners[i].key), "is the endpoint of " + std::string(kListeners[j].key) +
+                                               " too; each listener needs an endpoint of its own"});
+    }
+  }
+  return faults;
+}
+
+std::vector<Fault> RequirePeerAddress(const Settings& settings) {
+  if (!IsWildcard(settings.peer_listener)) return {};
+  return {{"peer_listener", "must be the address that other entries connect to, not a wildcard"}};
 }
 
-Endpoint ReadEndpoint(TomlReader& reader, std::string_view key) {
-  const std::string text = reader.RequiredString(key);
-  if (text.empty()) return {};
-  const auto endpoint = ParseEndpoint(text);
-  if (!endpoint) reader.Report(key, "must be an IP address and a port, such as \"127.0.0.1:7100\"");
-  return endpoint.value_or(Endpoint{});
+std::vector<Fault> RequirePeerKey(const Settings& settings) {
+  const Endpoint& peer = settings.peer_listener;
+  if (peer.address.empty() || IsLoopback(peer) || !settings.peer_key_file.empty()) return {};
+  return {{"peer_key_file", "is missing; it is required when peer_listener is not on loopback"}};
 }
 
+std::vector<Fault> RequireOperatorToken(const Settings& settings) {
+  const Endpoint& admin = settings.admin_listener;
+  if (admin.address.empty() || IsLoopback(admin) || !settings.operator_token_file.empty()) {
+    return {};
+  }
+  return {
+      {"operator_token_file", "is missing; it is required when admin_listener is not on loopback"}};
+}
+
+std::vector<Fault> RequireCertificateWithKey(const Settings& settings) {
+  if (settings.tls_certificate_file.empty() == settings.tls_key_file.empty()) return {};
+  if (settings.tls_key_file.empty()) {
+    return {{"tls_key_file", "is missing; tls_certificate_file needs it"}};
+  }
+  return {{"tls_certificate_file", "is missing; tls_key_file needs it"}};
+}
+
+using SettingsRule = std::vector<Fault> (*)(const Settings&);
+constexpr std::array<SettingsRule, 5> kRules{&RequireSeparateListeners, &RequirePeerAddress,
+                                             &RequirePeerKey, &RequireOperatorToken,
+                                             &RequireCertificateWithKey};
+
 }  // namespace
 
+std::span<const Field<Settings>> SettingsFields() { return kFields; }
+
 std::optional<Endpoint> ParseEndpoint(std::string_view text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) return std::nullopt;
-  std::string_view address = text.substr(0, colon);
-  if (address.starts_with('[') && address.ends_with(']')) {
-    address = address.substr(1, address.size() - 2);
-  } else if (address.find(':') != std::string_view::npos) {
-    return std::nullopt;
-  }
-  const std::string_view port_text = text.substr(colon + 1);
-  uint16_t port = 0;
-  const auto [end, error] =
-      std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
-  if (error != std::errc() || end != port_text.data() + port_text.size()) return std::nullopt;
-  if (!IsIpAddress(std::string(address))) return std::nullopt;
-  return Endpoint{.address = std::string(address), .port = port};
+  return boost::leaf::try_handle_all(
+      [&]() -> Parsed<std::optional<Endpoint>> {
+        BOOST_LEAF_AUTO(endpoint, ParseAddressAndPort(text));
+        return std::optional<Endpoint>(std::move(endpoint));
+      },
+      []() -> std::optional<Endpoint> { return std::nullopt; });
+}
+
+Ret CheckHttpUrl(std::string_view text) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Parsed<Ret> {
+        BOOST_LEAF_CHECK(CheckUrl(text));
+        return MakeOk();
+      },
+      [](const ValueFault& fault) { return Ret(ErrorCode::kInvalidArgument, fault.message); },
+      [] { return Ret(ErrorCode::kInvalidArgument, "is not valid"); });
 }
 
 SettingsResult ParseSettings(std::string_view text) {
   SettingsResult result;
-  const toml::parse_result parsed = toml::parse(text);
-  if (!parsed) {
-    result.problems.push_back({.line = static_cast<int>(parsed.error().source().begin.line),
-                               .key = "",
-                               .message = std::string(parsed.error().description())});
-    return result;
+  ProblemCollector problems;
+  if (const auto table = ParseToml(text, problems)) {
+    TomlReader root(*table, "", problems);
+    result.settings = ReadFields(root, SettingsFields());
+    root.RejectUnknownKeys();
+    const auto unread = problems.Paths();
+    for (const SettingsRule rule : kRules) {
+      for (const Fault& fault : rule(result.settings)) {
+        if (!unread.contains(fault.key)) problems.Report(fault.key, fault.message);
+      }
+    }
   }
-  Settings& settings = result.settings;
-  TomlReader root(parsed.table(), "", result.problems);
-  settings.id = EntryId(root.RequiredString("id"));
-  settings.data_centre = DataCentreName(root.RequiredString("data_centre"));
-  settings.environment = root.RequiredString("environment");
-  settings.caller_listener = ReadEndpoint(root, "caller_listener");
-  settings.admin_listener = ReadEndpoint(root, "admin_listener");
-  settings.peer_listener = ReadEndpoint(root, "peer_listener");
-  settings.platform_url = root.RequiredString("platform_url");
-  settings.platform_token_file = root.String("platform_token_file", "");
-  settings.operator_token_file = root.String("operator_token_file", "");
-  settings.peer_key_file = root.String("peer_key_file", "");
-  settings.tls_certificate_file = root.String("tls_certificate_file", "");
-  settings.tls_key_file = root.String("tls_key_file", "");
-  settings.log_level = root.String("log_level", "info");
-  root.RejectUnknownKeys();
+  result.problems = problems.TakeSorted();
   return result;
 }
 
--- a/src/document/internal/toml_reader.cc
+++ b/src/document/internal/toml_reader.cc
@@ -1,48 +1,23 @@
 #include "document/internal/toml_reader.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace citronferry::document {
-namespace {
 
-struct Unit {
-  std::string_view suffix;
-  Duration length;
-};
-
-constexpr std::array<Unit, 5> kUnits{
-    {{"ms", 1ms}, {"s", 1s}, {"min", 1min}, {"h", 1h}, {"d", 24h}}};
-
-std::string DescribeDuration(Duration duration) {
-  for (auto unit = kUnits.rbegin(); unit != kUnits.rend(); ++unit) {
-    if (duration >= unit->length && duration % unit->length == Duration::zero()) {
-      return std::to_string(duration / unit->length) + std::string(unit->suffix);
-    }
+TomlReader::TomlReader(const toml::table& table, std::string path, ProblemCollector& problems)
+    : m_table(table), m_path(std::move(path)), m_problems(problems) {
+  if (!m_path.empty()) m_problems.SetLine(m_path, static_cast<int>(table.source().begin.line));
+  for (const auto& [key, node] : m_table) {
+    m_problems.SetLine(PathOf(key.str()), static_cast<int>(key.source().begin.line));
   }
-  return std::to_string(ToMilliseconds(duration)) + "ms";
 }
 
-std::string FormatNumber(double value) {
-  std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%g", value);
-  return text.data();
+std::string TomlReader::PathOf(std::string_view key) const {
+  return m_path.empty() ? std::string(key) : m_path + "." + std::string(key);
 }
 
-}  // namespace
-
-std::optional<Duration> ParseDuration(std::string_view text) {
-  int64_t count = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
-  if (error != std::errc() || count < 0) return std::nullopt;
-  const std::string_view suffix = text.substr(static_cast<size_t>(end - text.data()));
-  for (const Unit& unit : kUnits) {
-    if (suffix != unit.suffix) continue;
-    if (count > Duration::max() / unit.length) return std::nullopt;
-    return count * unit.length;
-  }
-  return std::nullopt;
+void TomlReader::Report(std::string_view key, std::string message) {
+  m_problems.Report(PathOf(key), std::move(message));
 }
 
 const toml::node* TomlReader::Find(std::string_view key) {
@@ -50,86 +25,59 @@
   return m_table.get(key);
 }
 
-int TomlReader::LineOf(std::string_view key) const {
-  const toml::node* node = m_table.get(key);
-  const auto line = node ? node->source().begin.line : m_table.source().begin.line;
-  return static_cast<int>(line);
-}
-
-void TomlReader::Report(std::string_view key, std::string message) {
-  const std::string path = m_path.empty() ? std::string(key) : m_path + "." + std::string(key);
-  m_problems.push_back({.line = LineOf(key), .key = path, .message = std::move(message)});
-}
-
-std::string TomlReader::RequiredString(std::string_view key) {
-  const toml::node* node = Find(key);
-  if (!node) {
-    Report(key, "is missing; a non-empty string is required");
-    return {};
-  }
-  const auto value = node->value_exact<std::string>();
-  if (!value || value->empty()) {
-    Report(key, "must be a non-empty string");
-    return {};
-  }
-  return *value;
-}
-
-std::string TomlReader::String(std::string_view key, std::string_view fallback) {
-  const toml::node* node = Find(key);
-  if (!node) return std::string(fallback);
-  const auto value = node->value_exact<std::string>();
-  if (!value) Report(key, "must be a string");
-  return value.value_or(std::string(fallback));
-}
-
-bool TomlReader::Bool(std::string_view key, bool fallback) {
+std::optional<bool> TomlReader::Bool(std::string_view key) {
   const toml::node* node = Find(key);
-  if (!node) return fallback;
+  if (!node) return std::nullopt;
   const auto value = node->value_exact<bool>();
   if (!value) Report(key, "must be true or false");
-  return value.value_or(fallback);
+  return value;
 }
 
-int TomlReader::Int(std::string_view key, int fallback, int min, int max) {
+std::optional<int> TomlReader::Int(std::string_view key, int min, int max) {
   const toml::node* node = Find(key);
-  if (!node) return fallback;
+  if (!node) return std::nullopt;
   const auto value = node->value_exact<int64_t>();
   if (!value || *value < min || *value > max) {
     Report(key, "must be an integer from " + std::to_string(min) + " to " + std::to_string(max));
-    return fallback;
+    return std::nullopt;
   }
   return static_cast<int>(*value);
 }
 
-double TomlReader::Number(std::string_view key, double fallback, double min, double max) {
+std::optional<double> TomlReader::Number(std::string_view key, double min, double max) {
   const toml::node* node = Find(key);
-  if (!node) return fallback;
+  if (!node) return std::nullopt;
   const auto value = node->is_number() ? node->value<double>() : std::nullopt;
+  // The comparison is written so that it refuses "nan".
   if (!value || !(*value >= min && *value <= max)) {
     Report(key, "must be a number from " + FormatNumber(min) + " to " + FormatNumber(max));
-    return fallback;
+    return std::nullopt;
   }
-  return *value;
+  return value;
 }
 
-Duration TomlReader::Time(std::string_view key, Duration fallback, Duration min, Duration max) {
+std::optional<std::string> TomlReader::Text(std::string_view key,
+                                            Parsed<void> (*check)(std::string_view)) {
   const toml::node* node = Find(key);
-  if (!node) return fallback;
+  if (!node) return std::nullopt;
   const auto text = node->value_exact<std::string>();
-  const auto value = text ? ParseDuration(*text) : std::nullopt;
-  if (!value) {
-    Report(key, "must be a duration with a unit (ms, s, min, h, d), such as \"30s\"");
-    return fallback;
-  }
-  if (*value < min || *value > max) {
-    Report(key, "must be from " + DescribeDuration(min) + " to " + DescribeDuration(max));
-    return fallback;
-  }
-  return *value;
-}
-
-std::vector<std::string> TomlReader::Strings(std::string_view key) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Parsed<std::optional<std::string>> {
+        BOOST_LEAF_CHECK(check(text.value_or(std::string())));
+        return text;
+      },
+      [&](const ValueFault& fault) -> std::optional<std::string> {
+        Report(key, fault.message);
+        return std::nullopt;
+      },
+      [&]() -> std::optional<std::string> {
+        Report(key, "is not valid");
+        return std::nullopt;
+      });
+}
+
+std::vector<std::string> TomlReader::Texts(std::string_view key,
+                                           Parsed<void> (*check)(std::string_view)) {
   const toml::node* node = Find(key);
   if (!node) return {};
   const toml::array* array = node->as_array();
@@ -138,28 +86,29 @@
     return {};
   }
   std::vector<std::string> values;
-  for (const toml::node& item : *array) {
-    const auto value = item.value_exact<std::string>();
-    if (!value || value->empty()) {
-      Report(key, "must contain non-empty strings only");
-      return {};
-    }
-    values.push_back(*value);
+  for (size_t i = 0; i < array->size(); ++i) {
+    const toml::node& item = *array->get(i);
+    const std::string item_key = std::string(key) + "[" + std::to_string(i) + "]";
+    m_problems.SetLine(PathOf(item_key), static_cast<int>(item.source().begin.line));
+    values.push_back(item.value_exact<std::string>().value_or(std::string()));
+    boost::leaf::try_handle_all([&]() -> Parsed<void> { return check(values.back()); },
+                                [&](const ValueFault& fault) { Report(item_key, fault.message); },
+                                [&] { Report(item_key, "is not valid"); });
   }
   return values;
 }
 
-size_t TomlReader::Choice(std::string_view key, std::initializer_list<std::string_view> allowed,
-                          size_t fallback) {
+std::optional<size_t> TomlReader::Choice(std::string_view key,
+                                         std::span<const std::string_view> names) {
   const toml::node* node = Find(key);
-  if (!node) return fallback;
+  if (!node) return std::nullopt;
   const auto value = node->value_exact<std::string>();
-  const auto* found = value ? std::find(allowed.begin(), allowed.end(), *value) : allowed.end();
-  if (found != allowed.end()) return static_cast<size_t>(found - allowed.begin());
+  const auto found = value ? std::find(names.begin(), names.end(), *value) : names.end();
+  if (found != names.end()) return static_cast<size_t>(found - names.begin());
   std::string message = "must be one of";
-  for (std::string_view name : allowed) message += " \"" + std::string(name) + '"';
+  for (std::string_view name : names) message += " \"" + std::string(name) + '"';
   Report(key, std::move(message));
-  return fallback;
+  return std::nullopt;
 }
 
 std::vector<TomlReader> TomlReader::Tables(std::string_view key) {
@@ -178,22 +127,20 @@
   return tables;
 }
 
-std::optional<TomlReader> TomlReader::Table(std::string_view key) {
-  const toml::node* node = Find(key);
-  if (!node) return std::nullopt;
-  const toml::table* table = node->as_table();
-  if (!table) {
-    Report(key, "must be a table, written as [" + std::string(key) + "]");
-    return std::nullopt;
-  }
-  return TomlReader(*table, std::string(key), m_problems);
-}
-
 void TomlReader::RejectUnknownKeys() {
+  std::string allowed;
+  for (const std::string& key : m_read) allowed += (allowed.empty() ? "" : ", ") + key;
   for (const auto& [key, node] : m_table) {
-    if (m_read.contains(key.str())) continue;
-    Report(key.str(), "is not a known key");
+    if (!m_read.contains(key.str())) Report(key.str(), "is not a known key; allowed: " + allowed);
   }
 }
 
+std::optional<toml::table> ParseToml(std::string_view text, ProblemCollector& problems) {
+  toml::parse_result parsed = toml::parse(text);
+  if (parsed) return std::move(parsed).table();
+  problems.SetLine("", static_cast<int>(parsed.error().source().begin.line));
+  problems.Report("", std::string(parsed.error().description()));
+  return std::nullopt;
+}
+
 }  // namespace citronferry::document
--- a/src/document/settings.h
+++ b/src/document/settings.h
@@ -43,11 +43,14 @@
 /// Parses and checks the settings of a process. Reports every fault at once.
 SettingsResult ParseSettings(std::string_view text);
 
-/// @return the endpoint of "IP:port" ("[IP]:port" for IPv6), or nothing if the text is not one;
-/// host
-///   names are not accepted.
+/// @return the endpoint of "IP:port" ("[IP]:port" for IPv6), or nothing if the text is not one.
+///   Host names are not accepted.
 std::optional<Endpoint> ParseEndpoint(std::string_view text);
 
+/// Checks a base URL: "http" or "https", an IP address and a port, without a path.
+/// @return kInvalidArgument with what is allowed.
+Ret CheckHttpUrl(std::string_view text);
+
 }  // namespace citronferry::document
 
 #endif  // CITRONFERRY_DOCUMENT_SETTINGS_H_
