Add the operator commands: apply, promote, status, drain, hash-token

Cause: operators could check a document, but not put one in force.

apply and promote compare first and show the difference in words, then put the text in the object store under its digest and write row config/<environment> on the condition that it still has the version that was read. promote rewrites nothing: production refers to the digest that was tried, and the document allows it with promote_to. A missing answer is resolved by reading the row back: the own digest is success, the same row version is written again, and another change is refused with its version, author and difference. The row also names the digest of its base, so that an own change that was replaced meanwhile is told apart from one that never took effect.

Ruled out: retrying over another operator's change, which would revert it unseen; reading the base from a history of rows, which would cost a second write for each change. Commands run a coroutine on an event loop of their own and reuse an existing QCoreApplication, so tests run the whole command line against in-process stand-ins.

--- a/src/cli/internal/check_command.cc
+++ b/src/cli/internal/check_command.cc
@@ -2,28 +2,31 @@
 
 #include "cli/cli.h"
 #include "cli/internal/commands.h"
+#include "cli/internal/files.h"
 #include "cli/internal/options.h"
+#include "document/reference.h"
 
 namespace citronferry::cli {
 
 int RunCheck(std::span<char*> arguments) {
-  cxxopts::Options options("citronferry check", "Checks a document. Reports every fault at once.");
-  options.add_options()("document", "the TOML document", cxxopts::value<std::string>());
+  cxxopts::Options options("citronferry check",
+                           "Checks a document without any network. Reports every fault at once.");
+  options.add_options()("document", "the TOML document", cxxopts::value<std::string>())(
+      "list-keys", "print a reference of every key instead");
   options.parse_positional("document");
   options.positional_help("DOCUMENT");
   const ParsedOptions parsed = ParseOptions(options, arguments);
   if (!parsed.values) return parsed.exit_code;
-  if (parsed.values->count("document") == 0) {
-    std::cerr << "citronferry check: a document is required\n";
-    return kExitUsage;
+  if (parsed.values->count("list-keys") > 0) {
+    std::cout << document::RenderReference();
+    return kExitOk;
   }
-  const auto path = (*parsed.values)["document"].as<std::string>();
-  const auto text = ReadFile(path);
+  const auto path = RequireOption(*parsed.values, "check", "document");
+  if (!path) return kExitUsage;
+  const auto text = ReadFile(*path);
   if (!text) return kExitFailure;
-  const document::ParseResult result = document::ParseDocument(*text);
-  PrintProblems(path, result.problems);
-  if (!result.problems.empty()) return kExitInvalid;
-  std::cout << path << ": valid\n";
+  if (!ParseAndReport(*path, *text)) return kExitInvalid;
+  std::cout << *path << ": valid\n";
   return kExitOk;
 }
 
--- a/src/cli/internal/cli.cc
+++ b/src/cli/internal/cli.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <array>
-#include <fstream>
 #include <iostream>
-#include <sstream>
+#include <string>
+#include <string_view>
 
 #include "cli/internal/commands.h"
 
@@ -17,47 +17,29 @@
   Command run;
 };
 
-constexpr std::array<CommandEntry, 3> kCommands{{
+constexpr std::array<CommandEntry, 8> kCommands{{
     {"serve", "run an entry", &RunServe},
     {"check", "check a document without any network", &RunCheck},
+    {"apply", "put a document in force in the trial environment", &RunApply},
+    {"promote", "put the trial document in force in production", &RunPromote},
+    {"status", "show what an entry knows", &RunStatus},
+    {"drain", "let an entry finish its requests and end", &RunDrain},
+    {"hash-token", "print the digest of a bearer token", &RunHashToken},
     {"version", "print the version", &RunVersion},
 }};
 
 void PrintUsage(std::ostream& out) {
+  constexpr size_t kNameWidth = 12;
   out << "usage: citronferry COMMAND [OPTIONS]\n\ncommands:\n";
   for (const CommandEntry& command : kCommands) {
-    out << "  " << command.name << std::string(10 - command.name.size(), ' ') << command.summary
-        << '\n';
+    out << "  " << command.name << std::string(kNameWidth - command.name.size(), ' ')
+        << command.summary << '\n';
   }
   out << "\n'citronferry COMMAND --help' describes a command.\n";
 }
 
 }  // namespace
 
-int RunVersion(std::span<char*>) {
-  std::cout << "citronferry " CITRONFERRY_VERSION "\n";
-  return kExitOk;
-}
-
-std::optional<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    std::cerr << path << ": cannot be read\n";
-    return std::nullopt;
-  }
-  std::ostringstream content;
-  content << file.rdbuf();
-  return content.str();
-}
-
-void PrintProblems(std::string_view file, std::span<const document::Problem> problems) {
-  for (const document::Problem& problem : problems) {
-    std::cerr << file << ':' << problem.line << ": ";
-    if (!problem.key.empty()) std::cerr << problem.key << ' ';
-    std::cerr << problem.message << '\n';
-  }
-}
-
 int RunCli(std::span<char*> arguments) {
   if (arguments.size() < 2) {
     PrintUsage(std::cerr);
--- a/src/cli/internal/serve_command.cc
+++ b/src/cli/internal/serve_command.cc
@@ -5,6 +5,7 @@
 
 #include "cli/cli.h"
 #include "cli/internal/commands.h"
+#include "cli/internal/files.h"
 #include "cli/internal/options.h"
 #include "document/settings.h"
 #include "node/node.h"
--- /dev/null
+++ b/src/cli/tests/publish_test.cc
@@ -0,0 +1,256 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include "cli/tests/command_runner.h"
+#include "http/server.h"
+#include "node/node_context.h"
+#include "standins/platform/platform_standin.h"
+#include "supervision/testing/event_loop.h"
+
+namespace citronferry::cli {
+namespace {
+
+using ::testing::HasSubstr;
+
+constexpr std::string_view kRowPath = "/v1/tables/config/rows/";
+
+std::string MakeDocument(std::string_view deadline, bool promotable = true) {
+  return std::string("environment = \"trial\"\n") +
+         (promotable ? "promote_to = \"production\"\n" : "") +
+         "[[service]]\nname = \"tally\"\npool = \"tally\"\n"
+         "[[pool]]\nname = \"tally\"\ninstances = [\"t1\", \"t2\"]\n"
+         "[[queue]]\nname = \"tally\"\nservice = \"tally\"\ndeadline = \"" +
+         std::string(deadline) + "\"\n";
+}
+
+/// Runs apply and promote against the platform stand-in, whose faults are set between two calls.
+class PublishTest : public ::testing::Test {
+ protected:
+  using Hook = std::function<void(const http::Request&)>;
+
+  PublishTest()
+      : m_application(TestApplication()),
+        m_server(*m_timers, {.address = QHostAddress(QHostAddress::LocalHost)},
+                 [this](http::Request request) { return Handle(std::move(request)); }) {
+    EXPECT_TRUE(m_server.Listen().ok());
+    m_tasks.Spawn([this]() -> QCoro::Task<void> { static_cast<void>(co_await m_server.Run()); });
+  }
+  ~PublishTest() override {
+    m_server.Stop();
+    EXPECT_TRUE(ProcessEventsUntil([this] { return m_tasks.running() == 0; }));
+  }
+
+  CommandResult Run(std::vector<std::string> arguments) {
+    const std::string url = "http://127.0.0.1:" + std::to_string(m_server.port());
+    arguments.insert(arguments.end(), {"--platform", url, "--author", "bob"});
+    return RunCommand(std::move(arguments));
+  }
+  CommandResult Apply(std::string_view document, std::vector<std::string> options = {}) {
+    options.insert(options.begin(), {"apply", WriteFile("document.toml", document)});
+    return Run(std::move(options));
+  }
+
+  /// Calls the stand-in directly. Calls without an injected delay end at once.
+  http::Response Call(std::string_view method, std::string path, std::string_view body = "",
+                      http::Headers headers = {}) {
+    http::Request request{.method = std::string(method),
+                          .path = std::move(path),
+                          .headers = std::move(headers),
+                          .body = QByteArray(body.data(), static_cast<qsizetype>(body.size()))};
+    http::Response response;
+    m_tasks.Spawn([this, &request, &response]() -> QCoro::Task<void> {
+      response = co_await m_platform.Handle(request);
+    });
+    return response;
+  }
+  void SetSwitches(std::string_view json) { Call("PUT", "/standin/switches", json); }
+  /// @return the row of an environment; empty when there is none.
+  QJsonObject ReadRow(std::string_view environment) {
+    const http::Response row = Call("GET", std::string(kRowPath) + std::string(environment));
+    return row.status == 200 ? QJsonDocument::fromJson(row.body).object() : QJsonObject();
+  }
+  uint64_t VersionOf(std::string_view environment) {
+    return static_cast<uint64_t>(ReadRow(environment).value(QLatin1String("version")).toInteger());
+  }
+  std::string DigestOf(std::string_view environment) {
+    return ReadRow(environment).value(QLatin1String("digest")).toString().toStdString();
+  }
+  int CountWrites() { return Call("GET", "/standin/writes").body.toInt(); }
+
+  /// Puts a document of another operator in force, past the command under test.
+  void ApplyAsAda(std::string_view document) {
+    const QJsonObject current = ReadRow("trial");
+    const std::string digest = node::Sha256Hex(document);
+    const std::string path = std::string(kRowPath) + "trial";
+    const http::Response row = Call("GET", path);
+    QJsonObject next{
+        {QStringLiteral("version"), current.value(QLatin1String("version")).toInteger() + 1},
+        {QStringLiteral("digest"), QString::fromStdString(digest)},
+        {QStringLiteral("author"), QStringLiteral("ada")},
+        {QStringLiteral("base"), current.value(QLatin1String("version"))},
+        {QStringLiteral("base_digest"), current.value(QLatin1String("digest"))}};
+    Call("PUT", "/v1/objects/" + digest, document);
+    const http::Response written =
+        Call("PUT", path, QJsonDocument(next).toJson().toStdString(),
+             {{"If-Match", std::string(http::FindHeader(row.headers, "ETag"))}});
+    EXPECT_EQ(written.status, 200);
+  }
+
+  /// Runs a hook before the next call with this method for the row of the trial environment.
+  void BeforeRowCall(std::string method, std::function<void()> hook) {
+    m_hook = [this, method = std::move(method),
+              hook = std::move(hook)](const http::Request& request) {
+      if (request.method != method || request.path != std::string(kRowPath) + "trial") return;
+      const auto run = hook;
+      m_hook = {};
+      run();
+    };
+  }
+
+ private:
+  QCoro::Task<http::Response> Handle(http::Request request) {
+    const Hook hook = m_hook;
+    if (hook) hook(request);
+    co_return co_await m_platform.Handle(std::move(request));
+  }
+
+  QCoreApplication& m_application;
+  std::unique_ptr<TimerService> m_timers = MakeQtTimerService();
+  standin::PlatformStandin m_platform{*m_timers};
+  Hook m_hook;
+  TaskScope m_tasks;
+  http::Server m_server;
+};
+
+// Guards against a write without a look at the difference, and against a second version when the
+// same command runs again.
+TEST_F(PublishTest, ApplyShowsTheDifferenceAndMayRunAgain) {
+  EXPECT_EQ(Apply(MakeDocument("6h")).exit_code, kExitOk);
+  const CommandResult changed = Apply(MakeDocument("7h"), {"--base", "1"});
+  EXPECT_EQ(changed.exit_code, kExitOk) << changed.err;
+  EXPECT_THAT(changed.out, HasSubstr("queue tally: deadline \"6h\" -> \"7h\"\n"));
+  EXPECT_EQ(VersionOf("trial"), 2u);
+  const int writes = CountWrites();
+  const CommandResult again = Apply(MakeDocument("7h"), {"--base", "1"});
+  EXPECT_EQ(again.exit_code, kExitOk);
+  EXPECT_THAT(again.out, HasSubstr("in force already as version 2"));
+  EXPECT_EQ(CountWrites(), writes);
+  EXPECT_TRUE(ReadRow("production").isEmpty());
+}
+
+// Guards against a dry run that writes.
+TEST_F(PublishTest, DryRunWritesNothing) {
+  const CommandResult result = Apply(MakeDocument("6h"), {"--dry-run"});
+  EXPECT_EQ(result.exit_code, kExitOk);
+  EXPECT_THAT(result.out, HasSubstr("queue tally: added"));
+  EXPECT_EQ(CountWrites(), 0);
+}
+
+// Guards against a lost answer that is reported as a conflict with the own write, or written twice.
+TEST_F(PublishTest, LostAnswerAfterTheWriteIsSuccess) {
+  BeforeRowCall("PUT", [this] { SetSwitches(R"({"lose_answers": 1})"); });
+  const CommandResult result = Apply(MakeDocument("6h"));
+  EXPECT_EQ(result.exit_code, kExitOk) << result.err;
+  EXPECT_EQ(VersionOf("trial"), 1u);
+  EXPECT_EQ(CountWrites(), 1);
+}
+
+// Guards against a claim that nothing was written when the write took effect before an outage, and
+// against a command that can not be run again afterwards.
+TEST_F(PublishTest, LostAnswerFollowedByAnOutageIsUnknownAndMayRunAgain) {
+  BeforeRowCall("PUT", [this] {
+    SetSwitches(R"({"lose_answers": 1})");
+    BeforeRowCall("GET", [this] { SetSwitches(R"({"outage": true})"); });
+  });
+  const CommandResult lost = Apply(MakeDocument("6h"));
+  EXPECT_EQ(lost.exit_code, kExitFailure);
+  EXPECT_THAT(lost.err, HasSubstr("run the command again"));
+  SetSwitches("{}");
+  EXPECT_THAT(Apply(MakeDocument("6h")).out, HasSubstr("in force already as version 1"));
+}
+
+// Guards against a command that hangs in an outage or writes a part of the change.
+TEST_F(PublishTest, OutageIsReportedAndMayRunAgain) {
+  SetSwitches(R"({"outage": true})");
+  const CommandResult failed = Apply(MakeDocument("6h"));
+  EXPECT_EQ(failed.exit_code, kExitFailure);
+  EXPECT_THAT(failed.err, HasSubstr("unavailable"));
+  SetSwitches("{}");
+  EXPECT_EQ(CountWrites(), 0);
+  BeforeRowCall("PUT", [this] { SetSwitches(R"({"outage": true})"); });
+  EXPECT_EQ(Apply(MakeDocument("6h")).exit_code, kExitFailure);
+  SetSwitches("{}");
+  EXPECT_EQ(Apply(MakeDocument("6h")).exit_code, kExitOk);
+  EXPECT_EQ(VersionOf("trial"), 1u);
+}
+
+// Guards against an operator who reverts another one's change without knowing of it.
+TEST_F(PublishTest, ChangeOfAnotherOperatorInBetweenIsNamed) {
+  ASSERT_EQ(Apply(MakeDocument("6h")).exit_code, kExitOk);
+  BeforeRowCall("PUT", [this] { ApplyAsAda(MakeDocument("7h")); });
+  const CommandResult refused = Apply(MakeDocument("8h"));
+  EXPECT_EQ(refused.exit_code, kExitFailure);
+  EXPECT_THAT(refused.err, HasSubstr("version 2 of ada, based on version 1"));
+  EXPECT_THAT(refused.err, HasSubstr("queue tally: deadline \"6h\" -> \"7h\""));
+  EXPECT_EQ(DigestOf("trial"), node::Sha256Hex(MakeDocument("7h")));
+  const CommandResult based = Apply(MakeDocument("8h"), {"--base", "1"});
+  EXPECT_EQ(based.exit_code, kExitFailure);
+  EXPECT_THAT(based.err, HasSubstr("version 2 of ada"));
+  EXPECT_EQ(Apply(MakeDocument("8h"), {"--base", "2"}).exit_code, kExitOk);
+}
+
+// Guards against a repeated write that reverts the change of an operator who built on the first
+// write while its answer was lost.
+TEST_F(PublishTest, OwnChangeThatWasReplacedIsNotWrittenAgain) {
+  ASSERT_EQ(Apply(MakeDocument("6h")).exit_code, kExitOk);
+  BeforeRowCall("PUT", [this] {
+    SetSwitches(R"({"lose_answers": 1})");
+    BeforeRowCall("GET", [this] { ApplyAsAda(MakeDocument("8h")); });
+  });
+  const CommandResult result = Apply(MakeDocument("7h"));
+  EXPECT_EQ(result.exit_code, kExitFailure);
+  EXPECT_THAT(result.err, HasSubstr("queue tally: deadline \"7h\" -> \"8h\""));
+  EXPECT_THAT(result.err, HasSubstr("This document was version 2 and was replaced"));
+  EXPECT_EQ(VersionOf("trial"), 3u);
+}
+
+// Guards against a text that differs from the one that was tried, and against a promotion over a
+// change that the operator has not seen.
+TEST_F(PublishTest, PromoteKeepsTheTextAndRefusesAMovedBase) {
+  ASSERT_EQ(Apply(MakeDocument("6h")).exit_code, kExitOk);
+  EXPECT_EQ(Run({"promote", "--base", "1"}).exit_code, kExitFailure);
+  EXPECT_EQ(Run({"promote", "--base", "0", "--trial-version", "1"}).exit_code, kExitOk);
+  EXPECT_EQ(DigestOf("production"), DigestOf("trial"));
+  EXPECT_THAT(Run({"promote", "--base", "0"}).out, HasSubstr("in force already as version 1"));
+  ASSERT_EQ(Apply(MakeDocument("7h")).exit_code, kExitOk);
+  EXPECT_EQ(Run({"promote", "--trial-version", "1"}).exit_code, kExitFailure);
+  const CommandResult moved = Run({"promote", "--base", "0"});
+  EXPECT_EQ(moved.exit_code, kExitFailure);
+  EXPECT_THAT(moved.err, HasSubstr("version 1 of bob"));
+  EXPECT_EQ(VersionOf("production"), 1u);
+  EXPECT_EQ(Run({"promote", "--base", "1"}).exit_code, kExitOk);
+  EXPECT_EQ(VersionOf("production"), 2u);
+}
+
+// Guards against a promotion that the document does not provide for, or of nothing.
+TEST_F(PublishTest, PromoteNeedsAPromotableTrialDocument) {
+  EXPECT_EQ(Run({"promote"}).exit_code, kExitFailure);
+  ASSERT_EQ(Apply(MakeDocument("6h", false)).exit_code, kExitOk);
+  EXPECT_EQ(Run({"promote"}).exit_code, kExitInvalid);
+  EXPECT_TRUE(ReadRow("production").isEmpty());
+}
+
+// Guards against a doubtful document in the store, and against apply in production.
+TEST_F(PublishTest, BrokenOrForeignDocumentIsNotWritten) {
+  const CommandResult broken = Apply(MakeDocument("500ms"));
+  EXPECT_EQ(broken.exit_code, kExitInvalid);
+  EXPECT_THAT(broken.err, HasSubstr(":12: queue[0].deadline is 500ms"));
+  EXPECT_EQ(Apply("environment = \"production\"\n").exit_code, kExitInvalid);
+  EXPECT_EQ(CountWrites(), 0);
+}
+
+}  // namespace
+}  // namespace citronferry::cli
