--- a/src/cli/internal/cli.cc
+++ b/src/cli/internal/cli.cc
@@ -17,13 +17,14 @@
   Command run;
 };
 
-constexpr std::array<CommandEntry, 8> kCommands{{
+constexpr std::array<CommandEntry, 9> kCommands{{
     {"serve", "run an entry", &RunServe},
     {"check", "check a document without any network", &RunCheck},
     {"apply", "put a document in force in the trial environment", &RunApply},
     {"promote", "put the trial document in force in production", &RunPromote},
     {"status", "show what an entry knows", &RunStatus},
     {"drain", "let an entry finish its requests and end", &RunDrain},
+    {"replay", "replay recorded traces and compare the stated outcomes", &RunReplay},
     {"hash-token", "print the digest of a bearer token", &RunHashToken},
     {"version", "print the version", &RunVersion},
 }};
--- a/src/cli/tests/cli_test.cc
+++ b/src/cli/tests/cli_test.cc
@@ -106,8 +106,8 @@
 
 // Guards against a command without help, and against faults of usage that are not told apart.
 TEST(CliTest, HelpAndUsage) {
-  for (const char* command :
-       {"serve", "check", "apply", "promote", "status", "drain", "hash-token", "version"}) {
+  for (const char* command : {"serve", "check", "apply", "promote", "status", "drain", "replay",
+                              "hash-token", "version"}) {
     const CommandResult result = RunCommand({command, "--help"});
     EXPECT_EQ(result.exit_code, kExitOk) << command;
     EXPECT_THAT(result.out, HasSubstr("citronferry " + std::string(command)));
