--- a/src/cli/tests/cli_test.cc
+++ b/src/cli/tests/cli_test.cc
@@ -1,4 +1,3 @@
-#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <iostream>
@@ -11,7 +10,7 @@
 namespace citronferry::cli {
 namespace {
 
-using ::testing::HasSubstr;
+using ::testing::IsSubstring;
 
 constexpr char kStatus[] = R"({
   "entry": "e1", "lifecycle": "serving", "configuration": {"version": 7, "digest": "ab"},
@@ -89,7 +88,7 @@
 TEST_F(EntryTest, StatusToleratesAbsentKeysAndRefusesOtherBodies) {
   EXPECT_EQ(Run({"status", "--json"}).out.front(), '{');
   m_status = "{}";
-  EXPECT_THAT(Run({"status"}).out, HasSubstr("configuration version -"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "configuration version -", Run({"status"}).out);
   m_status = "<html>";
   EXPECT_EQ(Run({"status"}).exit_code, kExitFailure);
 }
@@ -110,7 +109,7 @@
                               "hash-token", "version"}) {
     const CommandResult result = RunCommand({command, "--help"});
     EXPECT_EQ(result.exit_code, kExitOk) << command;
-    EXPECT_THAT(result.out, HasSubstr("citronferry " + std::string(command)));
+    EXPECT_PRED_FORMAT2(IsSubstring, "citronferry " + std::string(command), result.out);
     EXPECT_EQ(RunCommand({command, "--colour"}).exit_code, kExitUsage) << command;
   }
   EXPECT_EQ(RunCommand({}).exit_code, kExitUsage);
@@ -125,7 +124,7 @@
 TEST(CliTest, UrlsNeedIpAddresses) {
   const CommandResult result = RunCommand({"status", "--entry", "http://entry-1:7101"});
   EXPECT_EQ(result.exit_code, kExitUsage);
-  EXPECT_THAT(result.err, HasSubstr("--entry must contain an IP address"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "--entry must contain an IP address", result.err);
 }
 
 // Guards against a digest that differs from the one that entries compute for the bearer token.
--- a/src/cli/tests/command_runner.h
+++ b/src/cli/tests/command_runner.h
@@ -36,8 +36,8 @@
 /// Writes a file that is removed when the process ends.
 /// @return its path.
 inline std::string WriteFile(std::string_view name, std::string_view content) {
-  static const QTemporaryDir directory;
-  std::string path = directory.path().toStdString() + "/" + std::string(name);
+  static const QTemporaryDir kDirectory;
+  std::string path = kDirectory.path().toStdString() + "/" + std::string(name);
   std::ofstream(path, std::ios::binary) << content;
   return path;
 }
--- a/src/cli/tests/publish_test.cc
+++ b/src/cli/tests/publish_test.cc
@@ -1,4 +1,3 @@
-#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <QJsonDocument>
@@ -13,7 +12,7 @@
 namespace citronferry::cli {
 namespace {
 
-using ::testing::HasSubstr;
+using ::testing::IsSubstring;
 
 constexpr std::string_view kRowPath = "/v1/tables/config/rows/";
 
@@ -131,12 +130,12 @@
   EXPECT_EQ(Apply(MakeDocument("6h")).exit_code, kExitOk);
   const CommandResult changed = Apply(MakeDocument("7h"), {"--base", "1"});
   EXPECT_EQ(changed.exit_code, kExitOk) << changed.err;
-  EXPECT_THAT(changed.out, HasSubstr("queue tally: deadline \"6h\" -> \"7h\"\n"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "queue tally: deadline \"6h\" -> \"7h\"\n", changed.out);
   EXPECT_EQ(VersionOf("trial"), 2u);
   const int writes = CountWrites();
   const CommandResult again = Apply(MakeDocument("7h"), {"--base", "1"});
   EXPECT_EQ(again.exit_code, kExitOk);
-  EXPECT_THAT(again.out, HasSubstr("in force already as version 2"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "in force already as version 2", again.out);
   EXPECT_EQ(CountWrites(), writes);
   EXPECT_TRUE(ReadRow("production").isEmpty());
 }
@@ -145,7 +144,7 @@
 TEST_F(PublishTest, DryRunWritesNothing) {
   const CommandResult result = Apply(MakeDocument("6h"), {"--dry-run"});
   EXPECT_EQ(result.exit_code, kExitOk);
-  EXPECT_THAT(result.out, HasSubstr("queue tally: added"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "queue tally: added", result.out);
   EXPECT_EQ(CountWrites(), 0);
 }
 
@@ -167,9 +166,9 @@
   });
   const CommandResult lost = Apply(MakeDocument("6h"));
   EXPECT_EQ(lost.exit_code, kExitFailure);
-  EXPECT_THAT(lost.err, HasSubstr("run the command again"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "run the command again", lost.err);
   SetSwitches("{}");
-  EXPECT_THAT(Apply(MakeDocument("6h")).out, HasSubstr("in force already as version 1"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "in force already as version 1", Apply(MakeDocument("6h")).out);
 }
 
 // Guards against a command that hangs in an outage or writes a part of the change.
@@ -177,7 +176,7 @@
   SetSwitches(R"({"outage": true})");
   const CommandResult failed = Apply(MakeDocument("6h"));
   EXPECT_EQ(failed.exit_code, kExitFailure);
-  EXPECT_THAT(failed.err, HasSubstr("unavailable"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "unavailable", failed.err);
   SetSwitches("{}");
   EXPECT_EQ(CountWrites(), 0);
   BeforeRowCall("PUT", [this] { SetSwitches(R"({"outage": true})"); });
@@ -193,12 +192,12 @@
   BeforeRowCall("PUT", [this] { ApplyAsAda(MakeDocument("7h")); });
   const CommandResult refused = Apply(MakeDocument("8h"));
   EXPECT_EQ(refused.exit_code, kExitFailure);
-  EXPECT_THAT(refused.err, HasSubstr("version 2 of ada, based on version 1"));
-  EXPECT_THAT(refused.err, HasSubstr("queue tally: deadline \"6h\" -> \"7h\""));
+  EXPECT_PRED_FORMAT2(IsSubstring, "version 2 of ada, based on version 1", refused.err);
+  EXPECT_PRED_FORMAT2(IsSubstring, "queue tally: deadline \"6h\" -> \"7h\"", refused.err);
   EXPECT_EQ(DigestOf("trial"), node::Sha256Hex(MakeDocument("7h")));
   const CommandResult based = Apply(MakeDocument("8h"), {"--base", "1"});
   EXPECT_EQ(based.exit_code, kExitFailure);
-  EXPECT_THAT(based.err, HasSubstr("version 2 of ada"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "version 2 of ada", based.err);
   EXPECT_EQ(Apply(MakeDocument("8h"), {"--base", "2"}).exit_code, kExitOk);
 }
 
@@ -212,8 +211,8 @@
   });
   const CommandResult result = Apply(MakeDocument("7h"));
   EXPECT_EQ(result.exit_code, kExitFailure);
-  EXPECT_THAT(result.err, HasSubstr("queue tally: deadline \"7h\" -> \"8h\""));
-  EXPECT_THAT(result.err, HasSubstr("This document was version 2 and was replaced"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "queue tally: deadline \"7h\" -> \"8h\"", result.err);
+  EXPECT_PRED_FORMAT2(IsSubstring, "This document was version 2 and was replaced", result.err);
   EXPECT_EQ(VersionOf("trial"), 3u);
 }
 
@@ -224,12 +223,13 @@
   EXPECT_EQ(Run({"promote", "--base", "1"}).exit_code, kExitFailure);
   EXPECT_EQ(Run({"promote", "--base", "0", "--trial-version", "1"}).exit_code, kExitOk);
   EXPECT_EQ(DigestOf("production"), DigestOf("trial"));
-  EXPECT_THAT(Run({"promote", "--base", "0"}).out, HasSubstr("in force already as version 1"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "in force already as version 1",
+                      Run({"promote", "--base", "0"}).out);
   ASSERT_EQ(Apply(MakeDocument("7h")).exit_code, kExitOk);
   EXPECT_EQ(Run({"promote", "--trial-version", "1"}).exit_code, kExitFailure);
   const CommandResult moved = Run({"promote", "--base", "0"});
   EXPECT_EQ(moved.exit_code, kExitFailure);
-  EXPECT_THAT(moved.err, HasSubstr("version 1 of bob"));
+  EXPECT_PRED_FORMAT2(IsSubstring, "version 1 of bob", moved.err);
   EXPECT_EQ(VersionOf("production"), 1u);
   EXPECT_EQ(Run({"promote", "--base", "1"}).exit_code, kExitOk);
   EXPECT_EQ(VersionOf("production"), 2u);
@@ -247,7 +247,7 @@
 TEST_F(PublishTest, BrokenOrForeignDocumentIsNotWritten) {
   const CommandResult broken = Apply(MakeDocument("500ms"));
   EXPECT_EQ(broken.exit_code, kExitInvalid);
-  EXPECT_THAT(broken.err, HasSubstr(":12: queue[0].deadline is 500ms"));
+  EXPECT_PRED_FORMAT2(IsSubstring, ":12: queue[0].deadline is 500ms", broken.err);
   EXPECT_EQ(Apply("environment = \"production\"\n").exit_code, kExitInvalid);
   EXPECT_EQ(CountWrites(), 0);
 }
--- a/src/document/tests/document_test.cc
+++ b/src/document/tests/document_test.cc
@@ -30,6 +30,7 @@
     {"UnknownSection", "[[team]]", "[[taem]]", 44, "taem", "is not a known key"},
     {"SectionNotArray", "[[wave]]", "[wave]", 54, "wave", "must be an array of tables"},
     {"Syntax", "weight = 2.0", "weight = ", 46, "", ""},
+    {"TableHeaderWithoutKey", "[[team]]", "[[=]]", 44, "", "bare key"},
     {"MissingName", "name = \"monthly\"\n", "", 54, "wave[0].name", "is missing"},
     {"NameWithSlash", "name = \"river\"", "name = \"a/b\"", 51, "team[1].name", "64 letters"},
     {"DurationWithoutUnit", "\"6h\"", "\"6\"", 34, "queue[0].deadline", "ms, s, min, h, d"},
