Refuse control characters in an author's name

Cause: the name of an author is printed in the terminals of other operators, so it could carry escape sequences. A base above 0 in an empty environment was called a change of another operator; it is reported as an invalid base now.

--- a/src/cli/internal/publish_command.cc
+++ b/src/cli/internal/publish_command.cc
@@ -1,5 +1,7 @@
 #include "cli/internal/publish_command.h"
 
+#include <algorithm>
+#include <cctype>
 #include <cstdlib>
 #include <iostream>
 
@@ -44,6 +46,12 @@
     std::cerr << "citronferry " << command << ": --author is required, since $USER is not set\n";
     return {.options = std::nullopt, .exit_code = kExitUsage};
   }
+  // The name is shown in the terminals of other operators.
+  if (std::any_of(options.author.begin(), options.author.end(),
+                  [](unsigned char c) { return std::iscntrl(c) != 0; })) {
+    std::cerr << "citronferry " << command << ": --author must not contain control characters\n";
+    return {.options = std::nullopt, .exit_code = kExitUsage};
+  }
   if (values.count("base") > 0) options.base = values["base"].as<uint64_t>();
   return {.options = std::move(options)};
 }
--- a/src/cli/internal/publisher.cc
+++ b/src/cli/internal/publisher.cc
@@ -140,7 +140,7 @@
   if (change.in_force) co_return change;
   if (change.request.base && *change.request.base != change.current.version) {
     if (change.current.version == 0) {
-      co_return Ret(ErrorCode::kConflict, "no version is in force; use --base 0\n");
+      co_return Ret(ErrorCode::kInvalidArgument, "nothing is in force yet, so the base must be 0");
     }
     co_return co_await MakeConflict(change.current, change.current.base_digest, change.digest);
   }
--- a/src/cli/tests/publish_test.cc
+++ b/src/cli/tests/publish_test.cc
@@ -44,7 +44,7 @@
 
   CommandResult Run(std::vector<std::string> arguments) {
     const std::string url = "http://127.0.0.1:" + std::to_string(m_server.port());
-    arguments.insert(arguments.end(), {"--platform", url, "--author", "bob"});
+    arguments.insert(arguments.begin() + 1, {"--platform", url, "--author", "bob"});
     return RunCommand(std::move(arguments));
   }
   CommandResult Apply(std::string_view document, std::vector<std::string> options = {}) {
@@ -249,6 +249,7 @@
   EXPECT_EQ(broken.exit_code, kExitInvalid);
   EXPECT_PRED_FORMAT2(IsSubstring, ":12: queue[0].deadline is 500ms", broken.err);
   EXPECT_EQ(Apply("environment = \"production\"\n").exit_code, kExitInvalid);
+  EXPECT_EQ(Apply(MakeDocument("6h"), {"--author", "a\x1b[2J"}).exit_code, kExitUsage);
   EXPECT_EQ(CountWrites(), 0);
 }
 
