--- a/src/cli/internal/replay_command.cc
+++ b/src/cli/internal/replay_command.cc
@@ -2,6 +2,7 @@
 
 #include "cli/cli.h"
 #include "cli/internal/commands.h"
+#include "cli/internal/files.h"
 #include "cli/internal/options.h"
 #include "replay/replay.h"
 
