--- /dev/null
+++ b/src/decisions/membership/absence_tracker.h
@@ -0,0 +1,36 @@
+#ifndef CITRONFERRY_DECISIONS_MEMBERSHIP_ABSENCE_TRACKER_H_
+#define CITRONFERRY_DECISIONS_MEMBERSHIP_ABSENCE_TRACKER_H_
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace citronferry::membership {
+
+/// An entry that the platform's list has not shown for this long is gone.
+inline constexpr Duration kGoneAfter = 10s;
+
+/// Decides which entries of the roster the platform no longer runs.
+class AbsenceTracker {
+ public:
+  /// @param roster every entry that has a row.
+  /// @param listed entries that the platform's list shows now; an empty list says nothing, since
+  ///   the platform then does not list entries at all.
+  void Observe(const std::vector<EntryId>& roster, const std::set<EntryId>& listed, TimePoint now);
+
+  /// @return entries absent from every list of the last kGoneAfter.
+  std::set<EntryId> Gone() const;
+  /// @return whether any entry is absent from the last list.
+  bool any_absent() const { return !m_absent_since.empty(); }
+
+ private:
+  std::map<EntryId, TimePoint> m_absent_since;
+  TimePoint m_observed;
+};
+
+}  // namespace citronferry::membership
+
+#endif  // CITRONFERRY_DECISIONS_MEMBERSHIP_ABSENCE_TRACKER_H_
--- /dev/null
+++ b/src/decisions/membership/internal/absence_tracker.cc
@@ -0,0 +1,29 @@
+#include "decisions/membership/absence_tracker.h"
+
+#include <algorithm>
+
+namespace citronferry::membership {
+
+void AbsenceTracker::Observe(const std::vector<EntryId>& roster, const std::set<EntryId>& listed,
+                             TimePoint now) {
+  m_observed = now;
+  std::erase_if(m_absent_since, [&](const auto& item) {
+    return listed.empty() || listed.contains(item.first) ||
+           std::find(roster.begin(), roster.end(), item.first) == roster.end();
+  });
+  if (listed.empty()) return;
+  for (const EntryId& entry : roster) {
+    if (!listed.contains(entry)) m_absent_since.try_emplace(entry, now);
+  }
+}
+
+std::set<EntryId> AbsenceTracker::Gone() const {
+  std::set<EntryId> gone;
+  for (const auto& [entry, since] : m_absent_since) {
+    // Counted up to the last list, because without a list nothing is known.
+    if (m_observed - since >= kGoneAfter) gone.insert(entry);
+  }
+  return gone;
+}
+
+}  // namespace citronferry::membership
--- /dev/null
+++ b/src/decisions/membership/internal/roster_history.cc
@@ -0,0 +1,30 @@
+#include "decisions/membership/roster_history.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronferry::membership {
+
+void RosterHistory::Observe(std::vector<EntryId> roster, const EntryId& self, TimePoint now) {
+  std::sort(roster.begin(), roster.end());
+  if (m_known && roster == m_current) return;
+  // An entry that finds itself alone is the first: whoever registers later sees it and waits.
+  const bool first_alone = !m_known && roster == std::vector<EntryId>{self};
+  if (!first_alone) {
+    m_past.push_back({.roster = std::exchange(m_current, {}), .replaced = now});
+  }
+  m_known = true;
+  m_current = std::move(roster);
+}
+
+std::vector<std::vector<EntryId>> RosterHistory::InForce(TimePoint now) {
+  std::erase_if(m_past,
+                [now](const Past& past) { return now - past.replaced >= kShareGrowthDelay; });
+  std::vector<std::vector<EntryId>> rosters;
+  if (!m_known) return rosters;
+  rosters.push_back(m_current);
+  for (const Past& past : m_past) rosters.push_back(past.roster);
+  return rosters;
+}
+
+}  // namespace citronferry::membership
