Decide which configuration is in force

ConfigurationTracker is pure: versions only grow, one version has one digest, the table service wins over a peer until a document is adopted, and a document that is not valid is passed over. Announcements arrive from two sources in any order, so a decision on each message by itself would let a late one win.

Ruled out: remembering refused versions instead of digests, since a version that a peer named with a false digest must stay open for the right one.

--- /dev/null
+++ b/src/decisions/rollout/configuration_tracker.h
@@ -0,0 +1,109 @@
+#ifndef CITRONFERRY_DECISIONS_ROLLOUT_CONFIGURATION_TRACKER_H_
+#define CITRONFERRY_DECISIONS_ROLLOUT_CONFIGURATION_TRACKER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace citronferry::rollout {
+
+/// Names one document.
+struct ConfigurationId {
+  uint64_t version = 0;
+  std::string digest;
+
+  friend bool operator==(const ConfigurationId&, const ConfigurationId&) = default;
+};
+
+// Events.
+
+/// The table service or a peer names a version.
+struct VersionSeen {
+  ConfigurationId id;
+  EntryId peer;  ///< Empty for the table service.
+};
+/// The document was fetched, has the digest and is valid.
+struct DocumentReady {
+  ConfigurationId id;
+};
+struct DocumentUnavailable {
+  ConfigurationId id;
+};
+/// The document has the digest but is not valid.
+struct DocumentInvalid {
+  ConfigurationId id;
+};
+
+using Event = std::variant<VersionSeen, DocumentReady, DocumentUnavailable, DocumentInvalid>;
+
+// Actions.
+
+struct FetchDocument {
+  ConfigurationId id;
+  EntryId peer;  ///< Has the document; empty if only the store is known to have it.
+};
+struct AdoptDocument {
+  ConfigurationId id;
+};
+/// One version with two digests; the second one is refused.
+struct ReportConflict {
+  ConfigurationId known;
+  ConfigurationId refused;
+  bool first = false;  ///< Not reported before.
+};
+/// An older version than the one in force, which is ignored.
+struct ReportStale {
+  ConfigurationId id;
+  bool first = false;  ///< Not reported before.
+};
+struct ReportInvalid {
+  ConfigurationId id;
+};
+
+using Action =
+    std::variant<FetchDocument, AdoptDocument, ReportConflict, ReportStale, ReportInvalid>;
+
+/// Decides which configuration is in force. Versions only grow.
+class ConfigurationTracker {
+ public:
+  /// @param held the configuration in force; version 0 for none.
+  explicit ConfigurationTracker(ConfigurationId held) : m_held(std::move(held)) {}
+
+  std::vector<Action> Handle(const Event& event, TimePoint now);
+
+  const ConfigurationId& held() const { return m_held; }
+
+ private:
+  struct Candidate {
+    ConfigurationId id;
+    EntryId peer;
+  };
+
+  void OnVersionSeen(const Event& event);
+  void OnDocumentReady(const Event& event);
+  void OnDocumentUnavailable(const Event& event);
+  void OnDocumentInvalid(const Event& event);
+
+  void Consider(const VersionSeen& seen);
+  void FetchNext();
+  void Conflict(const ConfigurationId& known, const ConfigurationId& refused);
+  bool MarkReported(const ConfigurationId& id);
+
+  ConfigurationId m_held;
+  std::optional<Candidate> m_fetching;
+  std::optional<Candidate> m_next;  // Newest one seen during the fetch.
+  std::set<std::string> m_invalid;  // Digests.
+  std::set<std::pair<uint64_t, std::string>> m_reported;
+  std::vector<Action> m_actions;
+};
+
+}  // namespace citronferry::rollout
+
+#endif  // CITRONFERRY_DECISIONS_ROLLOUT_CONFIGURATION_TRACKER_H_
