Connect the entries: roster rows, heartbeats, slot loans, configuration push, status

The configuration watcher carries out the decision of decisions/rollout and fetches a document from the object store or from a peer. /v1/status, /v1/drain, named reasons for "not ready", gauges and TLS for the listeners are served by admin; a drain by command and by SIGTERM take the same way.

Heartbeats of entries that lag were logged as stale configurations during each roll-out; only announcements are news now.

--- a/src/node/configuration/internal/configuration_watcher.cc
+++ b/src/node/configuration/internal/configuration_watcher.cc
@@ -1,40 +1,59 @@
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <array>
 
+#include "decisions/rollout/configuration_tracker.h"
 #include "node/configuration/configuration_module.h"
+#include "supervision/task_scope.h"
 #include "telemetry/log.h"
 
 namespace citronferry::node {
 namespace {
 
+using rollout::ConfigurationId;
+
 constexpr Duration kPollPeriod = 1s;
+// A call of the platform and a question to a peer each end within a second or two.
+constexpr Duration kJoinTimeout = 5s;
 constexpr char kConfigTable[] = "config";
 
-struct Announcement {
-  uint64_t version = 0;
-  std::string digest;
-};
-
-std::optional<Announcement> ParseAnnouncement(const std::string& value) {
+std::optional<ConfigurationId> ParseRow(const std::string& value) {
   const QJsonObject row = QJsonDocument::fromJson(QByteArray::fromStdString(value)).object();
-  Announcement announcement{
+  ConfigurationId id{
       .version = static_cast<uint64_t>(row.value(QLatin1String("version")).toInteger()),
       .digest = row.value(QLatin1String("digest")).toString().toStdString()};
-  if (announcement.version == 0 || announcement.digest.empty()) return std::nullopt;
-  return announcement;
+  if (id.version == 0 || id.digest.empty()) return std::nullopt;
+  return id;
 }
 
-/// Polls the configuration row and adopts newer versions.
+/// Adopts newer versions of the configuration that the table service or a peer names.
 class ConfigurationWatcher : public Service {
  public:
-  explicit ConfigurationWatcher(NodeContext& context) : m_context(context) {}
+  explicit ConfigurationWatcher(NodeContext& context)
+      : m_context(context),
+        m_tracker({.version = context.configuration.Get().version,
+                   .digest = context.configuration.Get().digest}),
+        m_version(context.metrics.Gauge("citronferry_configuration_version",
+                                        "Version of the configuration in force.")),
+        m_stale(context.metrics.Counter("citronferry_configuration_stale_total",
+                                        "Older versions that were named and ignored.")),
+        m_conflicts(context.metrics.Counter("citronferry_configuration_conflicts_total",
+                                            "Versions that were named with two digests.")),
+        m_invalid(context.metrics.Counter("citronferry_configuration_invalid_total",
+                                          "Documents that were refused as not valid.")) {}
 
   QCoro::Task<Ret> Run() override {
+    Subscription announced =
+        m_context.peer_configuration.Subscribe([this](const PeerConfiguration& c) {
+          Handle(rollout::VersionSeen{.id = {.version = c.version, .digest = c.digest},
+                                      .peer = c.peer});
+        });
     while (!m_stop.requested()) {
       co_await PollOnce();
       co_await SleepFor(m_context.timers, kPollPeriod, &m_stop);
     }
-    co_return MakeOk();
+    announced = {};
+    co_return co_await m_tasks.Join(m_context.timers, kJoinTimeout);
   }
   void Stop() override { m_stop.Request(); }
 
@@ -42,40 +61,117 @@
   QCoro::Task<void> PollOnce() {
     platform::RowKey key{.table = kConfigTable, .key = m_context.settings.environment};
     const auto row = co_await m_context.platform.tables().Get(std::move(key));
+    if (row.ok() || row.code() == ErrorCode::kNotFound) {
+      m_context.store_read = m_context.timers.Now();
+    }
     if (!row.ok()) co_return;
-    const auto announcement = ParseAnnouncement(row->value);
-    if (!announcement) {
+    const auto id = ParseRow(row->value);
+    if (!id) {
       Log(LogLevel::kError, "configuration_row_invalid");
       co_return;
     }
-    if (announcement->version <= m_context.configuration.Get().version) co_return;
-    co_await Adopt(*announcement);
+    Handle(rollout::VersionSeen{.id = *id});
+  }
+
+  void Handle(const rollout::Event& event) {
+    using Executor = void (ConfigurationWatcher::*)(const rollout::Action&);
+    // In the order of the alternatives of Action.
+    static constexpr std::array<Executor, std::variant_size_v<rollout::Action>> kExecutors{
+        &ConfigurationWatcher::Fetch, &ConfigurationWatcher::Adopt,
+        &ConfigurationWatcher::ReportConflict, &ConfigurationWatcher::ReportStale,
+        &ConfigurationWatcher::ReportInvalid};
+    for (const rollout::Action& action : m_tracker.Handle(event, m_context.timers.Now())) {
+      (this->*kExecutors[action.index()])(action);
+    }
   }
 
-  QCoro::Task<void> Adopt(Announcement announcement) {
-    const auto text = co_await m_context.platform.objects().Get(announcement.digest);
-    if (!text.ok()) co_return;
-    if (Sha256Hex(text.value()) != announcement.digest) {
-      Log(LogLevel::kError, "configuration_digest_mismatch", {{"version", announcement.version}});
+  void Fetch(const rollout::Action& action) {
+    if (m_stop.requested()) return;
+    m_tasks.Spawn([this, fetch = std::get<rollout::FetchDocument>(action)]() -> QCoro::Task<void> {
+      return FetchAndCheck(fetch.id, fetch.peer);
+    });
+  }
+
+  QCoro::Task<void> FetchAndCheck(ConfigurationId id, EntryId peer) {
+    const std::optional<std::string> text = co_await FetchText(id, peer);
+    if (!text) {
+      m_context.configuration_problem = "version " + std::to_string(id.version) +
+                                        " could not be fetched from the object store or a peer";
+      Log(LogLevel::kWarning, "configuration_unavailable", {{"version", id.version}});
+      Handle(rollout::DocumentUnavailable{id});
       co_return;
     }
-    document::ParseResult parsed = document::ParseDocument(text.value());
+    document::ParseResult parsed = document::ParseDocument(*text);
     if (!parsed.problems.empty()) {
-      Log(LogLevel::kError, "configuration_invalid",
-          {{"version", announcement.version}, {"problem", parsed.problems.front().message}});
+      m_problem = parsed.problems.front().key + " " + parsed.problems.front().message;
+      Handle(rollout::DocumentInvalid{id});
       co_return;
     }
-    m_context.configuration.Set(
-        {.version = announcement.version,
-         .digest = announcement.digest,
-         .text = text.value(),
-         .document = std::make_shared<document::Document>(std::move(parsed.document))});
-    Log(LogLevel::kInfo, "configuration_adopted",
-        {{"version", announcement.version}, {"digest", announcement.digest}});
+    m_fetched = {.version = id.version,
+                 .digest = id.digest,
+                 .text = *text,
+                 .document = std::make_shared<document::Document>(std::move(parsed.document))};
+    Handle(rollout::DocumentReady{id});
+  }
+
+  /// @return the text with the digest, or nothing.
+  QCoro::Task<std::optional<std::string>> FetchText(ConfigurationId id, EntryId peer) {
+    const auto stored = co_await m_context.platform.objects().Get(id.digest);
+    if (stored.ok()) {
+      if (Sha256Hex(stored.value()) == id.digest) co_return stored.value();
+      Log(LogLevel::kError, "configuration_digest_mismatch", {{"version", id.version}});
+    }
+    if (!m_context.fetch_document || m_stop.requested()) co_return std::nullopt;
+    const auto fetched = co_await m_context.fetch_document(id.digest, peer);
+    if (!fetched.ok()) co_return std::nullopt;
+    co_return fetched.value();
+  }
+
+  void Adopt(const rollout::Action& action) {
+    const ConfigurationId& id = std::get<rollout::AdoptDocument>(action).id;
+    m_context.configuration_problem.clear();
+    m_version.Set(static_cast<double>(id.version));
+    Log(LogLevel::kInfo, "configuration_adopted", {{"version", id.version}, {"digest", id.digest}});
+    m_context.configuration.Set(std::move(m_fetched));
+  }
+
+  void ReportConflict(const rollout::Action& action) {
+    const auto& conflict = std::get<rollout::ReportConflict>(action);
+    m_conflicts.Increment();
+    if (!conflict.first) return;
+    Log(LogLevel::kError, "configuration_conflict",
+        {{"version", conflict.known.version},
+         {"digest", conflict.known.digest},
+         {"refused_digest", conflict.refused.digest}});
+  }
+
+  void ReportStale(const rollout::Action& action) {
+    const auto& stale = std::get<rollout::ReportStale>(action);
+    m_stale.Increment();
+    if (!stale.first) return;
+    Log(LogLevel::kWarning, "configuration_stale",
+        {{"version", stale.id.version}, {"held", m_tracker.held().version}});
+  }
+
+  void ReportInvalid(const rollout::Action& action) {
+    const ConfigurationId& id = std::get<rollout::ReportInvalid>(action).id;
+    m_invalid.Increment();
+    m_context.configuration_problem =
+        "version " + std::to_string(id.version) + " is not valid: " + m_problem;
+    Log(LogLevel::kError, "configuration_invalid",
+        {{"version", id.version}, {"problem", m_problem}});
   }
 
   NodeContext& m_context;
+  rollout::ConfigurationTracker m_tracker;
+  prometheus::Gauge& m_version;
+  prometheus::Counter& m_stale;
+  prometheus::Counter& m_conflicts;
+  prometheus::Counter& m_invalid;
+  ActiveConfiguration m_fetched;
+  std::string m_problem;
   StopSignal m_stop;
+  TaskScope m_tasks;
 };
 
 }  // namespace
--- a/src/node/gateway/internal/gateway_service.cc
+++ b/src/node/gateway/internal/gateway_service.cc
@@ -15,7 +15,7 @@
       : m_dispatch(context),
         m_executors(context),
         m_handler(context, m_dispatch, m_executors),
-        m_server(context.timers, MakeOptions(context.settings),
+        m_server(context.timers, MakeOptions(context),
                  [this](http::Request request) { return m_handler.Handle(std::move(request)); }) {}
 
   QCoro::Task<Ret> Run() override {
@@ -27,9 +27,11 @@
   void Stop() override { m_server.Stop(); }
 
  private:
-  static http::ServerOptions MakeOptions(const document::Settings& settings) {
+  static http::ServerOptions MakeOptions(const NodeContext& context) {
+    const document::Settings& settings = context.settings;
     return {.address = QHostAddress(QString::fromStdString(settings.caller_listener.address)),
-            .port = settings.caller_listener.port};
+            .port = settings.caller_listener.port,
+            .tls = context.tls};
   }
 
   DispatchService m_dispatch;
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -2,7 +2,9 @@
 
 #include <QCoreApplication>
 #include <fstream>
+#include <utility>
 
+#include "http/tls.h"
 #include "node/admin/admin_module.h"
 #include "node/configuration/configuration_module.h"
 #include "node/fleet/fleet_module.h"
@@ -40,10 +42,8 @@
       std::move(children));
 }
 
-QCoro::Task<void> DrainAndStop(NodeContext& context, Supervisor& root) {
-  if (context.lifecycle.Get() == Lifecycle::kDraining) co_return;
+QCoro::Task<void> StopAfterNotice(NodeContext& context, Supervisor& root) {
   Log(LogLevel::kInfo, "drain_started");
-  context.lifecycle.Set(Lifecycle::kDraining);
   co_await SleepFor(context.timers, kDrainNotice);
   root.Stop();
 }
@@ -60,10 +60,23 @@
                       .metrics = metrics,
                       .platform = platform,
                       .incarnation = RandomToken()};
+  if (!settings.tls_certificate_file.empty()) {
+    auto tls = http::LoadServerTls(settings.tls_certificate_file, settings.tls_key_file);
+    if (!tls.ok()) {
+      Log(LogLevel::kError, "tls_invalid", {{"error", tls.ret().message()}});
+      return tls.ret();
+    }
+    context.tls = std::move(tls).value();
+  }
   Supervisor root = MakeRoot(context);
   TaskScope tasks;
-  TerminationSignals termination(
-      [&] { tasks.Spawn([&]() -> QCoro::Task<void> { return DrainAndStop(context, root); }); });
+  // Draining starts in the same way by a signal and by the operators' command.
+  bool draining = false;
+  Subscription drain = context.lifecycle.Subscribe([&](Lifecycle lifecycle) {
+    if (lifecycle != Lifecycle::kDraining || std::exchange(draining, true)) return;
+    tasks.Spawn([&]() -> QCoro::Task<void> { return StopAfterNotice(context, root); });
+  });
+  TerminationSignals termination([&] { context.lifecycle.Set(Lifecycle::kDraining); });
   Ret result;
   tasks.Spawn([&]() -> QCoro::Task<void> {
     Log(LogLevel::kInfo, "node_started",
--- a/src/node/internal/node_context.cc
+++ b/src/node/internal/node_context.cc
@@ -16,6 +16,23 @@
 
 }  // namespace
 
+std::map<InstanceId, PoolName> PoolsInService(const NodeContext& context) {
+  std::map<InstanceId, PoolName> pools;
+  const auto& document = context.configuration.Get().document;
+  if (!document) return pools;
+  for (const document::Pool& pool : document->pools) {
+    for (const InstanceId& instance : pool.instances) pools[instance] = pool.name;
+  }
+  for (const auto& [instance, ownership] : context.fleet.Get().ownership) {
+    if (ownership.serving) {
+      pools[instance] = ownership.pool;
+    } else {
+      pools.erase(instance);
+    }
+  }
+  return pools;
+}
+
 std::string RandomToken() {
   std::array<unsigned char, 8> bytes{};
   randombytes_buf(bytes.data(), bytes.size());
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -1,10 +1,15 @@
 #ifndef CITRONFERRY_NODE_NODE_CONTEXT_H_
 #define CITRONFERRY_NODE_NODE_CONTEXT_H_
 
+#include <qcoro/qcorotask.h>
+
+#include <QSslConfiguration>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,11 +53,27 @@
   uint64_t acknowledged_sequence = 0;   ///< Ownership changes that the entry obeys.
   uint64_t configuration_version = 0;   ///< Configuration in force on the entry.
   std::map<InstanceId, int> in_flight;  ///< Requests on instances that are not serving.
+  std::string peer_public_key;          ///< CURVE key in Z85; empty without authentication.
 };
 
 /// The entries that share the executors.
 struct RosterView {
   std::vector<RosterEntry> entries;
+  /// The current entries and those of rosters that other entries may still go by. A share is the
+  /// smallest that any of them gives.
+  std::vector<std::vector<EntryId>> in_force;
+};
+
+/// A configuration that a peer has in force.
+struct PeerConfiguration {
+  EntryId peer;
+  uint64_t version = 0;
+  std::string digest;
+};
+
+/// The peers that answer.
+struct PeerView {
+  std::set<EntryId> alive;
 };
 
 enum class Lifecycle { kServing, kDraining };
@@ -83,8 +104,20 @@
   Observable<SlotAdjustments> slot_adjustments;   ///< Set by membership.
   Observable<Lifecycle> lifecycle;                ///< Set by the node and the drain command.
   std::function<GatewayLoad()> read_load;         ///< Set by the gateway while it runs.
+
+  Observable<PeerConfiguration> peer_configuration;  ///< Last one announced; set by membership.
+  Observable<PeerView> peers;                        ///< Set by membership.
+  std::optional<TimePoint> store_read;   ///< Last answer of the table service to a poll.
+  std::optional<QSslConfiguration> tls;  ///< Of the listeners for callers and operators.
+  std::string configuration_problem;     ///< Why the newest configuration is not in force.
+  /// Fetches a document by digest from a peer, the named one first. Set by membership while it
+  /// runs.
+  std::function<QCoro::Task<RetVal<std::string>>(std::string digest, EntryId first)> fetch_document;
 };
 
+/// @return the pool of each instance that serves; instances that drain or are detached have none.
+std::map<InstanceId, PoolName> PoolsInService(const NodeContext& context);
+
 /// @return 16 random hexadecimal digits.
 std::string RandomToken();
 /// @return the lower-case hexadecimal SHA-256 of a text.
