Test entries against the platform stand-in and share growth with lagging views

Two entries run in one process against the stand-in: one without a store takes its documents from the other, a row is taken over after a restart and removed after draining, an entry whose id another process uses drains, and peers find each other. Shares are checked while four entries see a change of the roster up to 2.7 s apart.

A key file without a certificate file left the listeners without TLS; it is now an error at the start, as is a file that does not parse.

--- a/src/decisions/membership/slot_loans.h
+++ b/src/decisions/membership/slot_loans.h
@@ -119,9 +119,6 @@
 
   std::vector<LoanAction> Handle(const LoanEvent& event, TimePoint now);
 
-  /// @return whether Tick has anything to do besides asking for slots.
-  bool idle() const { return m_asked.empty() && m_borrowed.empty() && m_lent.empty(); }
-
  private:
   struct Asked {
     EntryId lender;
--- a/src/decisions/membership/tests/slot_share_test.cc
+++ b/src/decisions/membership/tests/slot_share_test.cc
@@ -2,9 +2,13 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "decisions/membership/roster_history.h"
+
 namespace citronferry::membership {
 namespace {
 
@@ -25,5 +29,52 @@
   EXPECT_EQ(SlotShare(EntryId("c"), roster, InstanceId("i1"), 8), 0);
 }
 
+// Guards against more slots in use than an executor has while some entries have seen a change of
+// the roster and others read it up to 2.9 s later.
+TEST(SlotShareTest, SharesNeverExceedTheSlotsWhileViewsDiffer) {
+  const std::vector<EntryId> all{EntryId("a"), EntryId("b"), EntryId("c"), EntryId("d")};
+  const std::vector<EntryId> fewer{EntryId("a"), EntryId("b"), EntryId("d")};
+  std::map<EntryId, RosterHistory> histories;
+  std::map<EntryId, int> shares;
+  const TimePoint start{100s};
+  for (int step = 0; step < 300; ++step) {
+    const TimePoint now = start + step * 100ms;
+    int total = 0;
+    for (size_t i = 0; i < all.size(); ++i) {
+      // The entry c leaves after 5 s and returns after 15 s; the others see it with their lag.
+      const auto seen = now - i * 900ms;
+      const bool away = seen >= start + 5s && seen < start + 15s;
+      RosterHistory& history = histories[all[i]];
+      history.Observe(away ? fewer : all, all[i], now);
+      shares[all[i]] = SmallestSlotShare(all[i], history.InForce(now), InstanceId("i1"), 8);
+      total += shares[all[i]];
+    }
+    EXPECT_LE(total, 8) << step;
+  }
+  // The share is back in full use at the end.
+  EXPECT_EQ(shares[all[0]] + shares[all[1]] + shares[all[2]] + shares[all[3]], 8);
+}
+
+// Guards against a first entry that waits for others that do not exist.
+TEST(SlotShareTest, FirstEntryUsesEverythingAtOnce) {
+  const EntryId self("a");
+  RosterHistory history;
+  EXPECT_TRUE(history.InForce(TimePoint(1s)).empty());
+  history.Observe({self}, self, TimePoint(1s));
+  EXPECT_EQ(SmallestSlotShare(self, history.InForce(TimePoint(1s)), InstanceId("i1"), 8), 8);
+}
+
+// Guards against heartbeat traffic that grows with the fleet, and against a choice that changes.
+TEST(SlotShareTest, HeartbeatsGoToAtMostSixteenPeers) {
+  std::vector<EntryId> roster;
+  for (int i = 0; i < 40; ++i) roster.emplace_back("entry-" + std::to_string(i));
+  const auto chosen = ChooseHeartbeatPeers(roster[3], roster);
+  EXPECT_EQ(chosen.size(), kMaxHeartbeatPeers);
+  EXPECT_EQ(std::set<EntryId>(chosen.begin(), chosen.end()).count(roster[3]), 0u);
+  EXPECT_EQ(ChooseHeartbeatPeers(roster[3], roster), chosen);
+  roster.resize(10);
+  EXPECT_EQ(ChooseHeartbeatPeers(roster[3], roster).size(), 9u);
+}
+
 }  // namespace
 }  // namespace citronferry::membership
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -60,7 +60,7 @@
                       .metrics = metrics,
                       .platform = platform,
                       .incarnation = RandomToken()};
-  if (!settings.tls_certificate_file.empty()) {
+  if (!settings.tls_certificate_file.empty() || !settings.tls_key_file.empty()) {
     auto tls = http::LoadServerTls(settings.tls_certificate_file, settings.tls_key_file);
     if (!tls.ok()) {
       Log(LogLevel::kError, "tls_invalid", {{"error", tls.ret().message()}});
--- /dev/null
+++ b/src/node/membership/tests/entries_test.cc
@@ -0,0 +1,221 @@
+#include <gtest/gtest.h>
+
+#include <QJsonObject>
+
+#include "http/server.h"
+#include "node/configuration/configuration_module.h"
+#include "node/membership/internal/peer_service.h"
+#include "node/membership/internal/roster_row.h"
+#include "node/membership/internal/roster_service.h"
+#include "standins/platform/platform_standin.h"
+#include "supervision/testing/event_loop.h"
+
+namespace citronferry::node {
+namespace {
+
+// Refuses every connection: port 1 is reserved and nothing listens on it.
+constexpr char kNoPlatform[] = "http://127.0.0.1:1";
+
+std::string DocumentText(int revision) {
+  return "environment = \"trial\"\n"
+         "# revision " +
+         std::to_string(revision) +
+         "\n"
+         "[[service]]\nname = \"billing\"\npool = \"p\"\nmax_unavailable = 2\n"
+         "[[pool]]\nname = \"p\"\ninstances = [\"i1\", \"i2\"]\n"
+         "[[queue]]\nname = \"tally\"\nservice = \"billing\"\n";
+}
+
+/// The configuration watcher and membership of one entry.
+class Entry {
+ public:
+  Entry(TimerService& timers, std::string id, std::string platform_url)
+      : m_settings(MakeSettings(std::move(id), std::move(platform_url))),
+        m_platform({.url = m_settings.platform_url}),
+        context{.settings = m_settings,
+                .timers = timers,
+                .metrics = metrics,
+                .platform = m_platform,
+                .incarnation = RandomToken()},
+        m_root(timers, {.name = "entry", .stop_deadline = 5s}, MakeChildren()) {
+    m_tasks.Spawn([this]() -> QCoro::Task<void> { static_cast<void>(co_await m_root.Run()); });
+  }
+  ~Entry() { Stop(); }
+
+  void Stop() {
+    m_root.Stop();
+    EXPECT_TRUE(ProcessEventsUntil([this] { return m_tasks.running() == 0; }));
+  }
+  RosterEntry roster_entry() const {
+    return {.id = m_settings.id,
+            .incarnation = context.incarnation,
+            .peer_address = m_endpoint->address};
+  }
+  uint64_t version() const { return context.configuration.Get().version; }
+
+ private:
+  static document::Settings MakeSettings(std::string id, std::string platform_url) {
+    document::Settings settings;
+    settings.id = EntryId(id);
+    settings.environment = "trial";
+    settings.peer_listener = {.address = "127.0.0.1"};
+    settings.platform_url = std::move(platform_url);
+    return settings;
+  }
+  std::vector<ChildSpec> MakeChildren() {
+    std::vector<ChildSpec> children;
+    children.push_back(ConfigurationModule::MakeChild(context));
+    children.push_back({.name = "peers", .factory = [this] {
+                          return std::make_unique<PeerService>(context, m_endpoint);
+                        }});
+    children.push_back({.name = "roster", .factory = [this] {
+                          return std::make_unique<RosterService>(context, m_endpoint);
+                        }});
+    return children;
+  }
+
+  document::Settings m_settings;
+  platform::PlatformModule m_platform;
+
+ public:
+  Metrics metrics;
+  NodeContext context;
+
+ private:
+  std::shared_ptr<PeerEndpoint> m_endpoint = std::make_shared<PeerEndpoint>();
+  Supervisor m_root;
+  TaskScope m_tasks;
+};
+
+class EntriesTest : public ::testing::Test {
+ protected:
+  EntriesTest() {
+    TestApplication();
+    m_timers = MakeQtTimerService();
+    m_standin = std::make_unique<standin::PlatformStandin>(*m_timers);
+    m_server = std::make_unique<http::Server>(
+        *m_timers, http::ServerOptions{.address = QHostAddress(QHostAddress::LocalHost)},
+        [this](http::Request request) { return m_standin->Handle(std::move(request)); });
+    EXPECT_TRUE(m_server->Listen().ok());
+    m_url = "http://127.0.0.1:" + std::to_string(m_server->port());
+    m_tasks.Spawn([this]() -> QCoro::Task<void> { static_cast<void>(co_await m_server->Run()); });
+    m_client = std::make_unique<platform::PlatformModule>(platform::PlatformOptions{.url = m_url});
+  }
+  ~EntriesTest() override {
+    m_server->Stop();
+    EXPECT_TRUE(ProcessEventsUntil([this] { return m_tasks.running() == 0; }));
+  }
+
+  std::unique_ptr<Entry> Start(std::string id) {
+    return std::make_unique<Entry>(*m_timers, std::move(id), m_url);
+  }
+
+  /// Runs a task to its end.
+  void Await(TaskScope::TaskFunction function) {
+    TaskScope tasks;
+    tasks.Spawn(std::move(function));
+    ASSERT_TRUE(ProcessEventsUntil([&tasks] { return tasks.running() == 0; }));
+  }
+
+  void Publish(int version) {
+    Await([this, version]() -> QCoro::Task<void> {
+      const std::string text = DocumentText(version);
+      const std::string digest = Sha256Hex(text);
+      const Ret stored = co_await m_client->objects().Put(digest, text);
+      EXPECT_TRUE(stored.ok());
+      const std::string value =
+          "{\"version\":" + std::to_string(version) + ",\"digest\":\"" + digest + "\"}";
+      const platform::RowKey key{.table = "config", .key = "trial"};
+      const auto current = co_await m_client->tables().Get(key);
+      if (current.ok()) {
+        const auto row = co_await m_client->tables().Update(key, value, current->version);
+        EXPECT_TRUE(row.ok());
+      } else {
+        const auto row = co_await m_client->tables().Create(key, value);
+        EXPECT_TRUE(row.ok());
+      }
+    });
+  }
+
+  /// @return the row of an entry, or nothing.
+  std::optional<RosterEntry> ReadRow(std::string id) {
+    std::optional<RosterEntry> entry;
+    Await([this, id, &entry]() -> QCoro::Task<void> {
+      const platform::RowKey key{.table = "entries", .key = id};
+      const auto row = co_await m_client->tables().Get(key);
+      if (row.ok()) entry = DecodeRosterRow(row->key, row->value);
+    });
+    return entry;
+  }
+
+  std::unique_ptr<TimerService> m_timers;
+  std::unique_ptr<standin::PlatformStandin> m_standin;
+  std::unique_ptr<http::Server> m_server;
+  std::unique_ptr<platform::PlatformModule> m_client;
+  std::string m_url;
+  TaskScope m_tasks;
+};
+
+// Guards against an entry that never gets a configuration while it can not reach the store although
+// its peers have one, at its start and later.
+TEST_F(EntriesTest, EntryWithoutStoreTakesDocumentsFromItsPeer) {
+  Publish(1);
+  const auto a = Start("a");
+  Entry b(*m_timers, "b", kNoPlatform);
+  Await([&]() -> QCoro::Task<void> {
+    const platform::RowKey key{.table = "entries", .key = "b"};
+    const std::string value = EncodeRosterRow(b.roster_entry());
+    const auto row = co_await m_client->tables().Create(key, value);
+    EXPECT_TRUE(row.ok());
+  });
+  EXPECT_TRUE(ProcessEventsUntil([&] { return a->version() == 1 && b.version() == 1; }));
+  Publish(2);
+  EXPECT_TRUE(ProcessEventsUntil([&] { return a->version() == 2 && b.version() == 2; }));
+  EXPECT_EQ(b.context.configuration.Get().text, DocumentText(2));
+}
+
+// Guards against a lost row after a restart, and against a row that stays after a graceful end and
+// keeps its share of the slots.
+TEST_F(EntriesTest, RowIsTakenOverAfterARestartAndRemovedAfterDraining) {
+  auto first = Start("a");
+  const std::string old_incarnation = first->context.incarnation;
+  EXPECT_TRUE(ProcessEventsUntil([&] { return !first->context.roster.Get().entries.empty(); }));
+  first.reset();
+  ASSERT_TRUE(ReadRow("a").has_value());
+  EXPECT_EQ(ReadRow("a")->incarnation, old_incarnation);
+
+  auto second = Start("a");
+  EXPECT_TRUE(ProcessEventsUntil([&] { return ReadRow("a")->incarnation != old_incarnation; }));
+  second->context.lifecycle.Set(Lifecycle::kDraining);
+  second.reset();
+  EXPECT_FALSE(ReadRow("a").has_value());
+}
+
+// Guards against two processes with one id that both use the slots of that entry.
+TEST_F(EntriesTest, EntryThatWasReplacedDrains) {
+  const auto first = Start("a");
+  EXPECT_TRUE(ProcessEventsUntil([&] { return !first->context.roster.Get().entries.empty(); }));
+  const auto second = Start("a");
+  EXPECT_TRUE(
+      ProcessEventsUntil([&] { return first->context.lifecycle.Get() == Lifecycle::kDraining; }));
+  EXPECT_EQ(second->context.lifecycle.Get(), Lifecycle::kServing);
+}
+
+// Guards against peers that do not find each other, and against a share that grows before every
+// other entry has seen the change.
+TEST_F(EntriesTest, PeersBecomeAliveAndTheOldRosterStaysInForce) {
+  const auto a = Start("a");
+  EXPECT_TRUE(ProcessEventsUntil([&] { return a->context.roster.Get().entries.size() == 1; }));
+  EXPECT_EQ(a->context.roster.Get().in_force.size(), 1u);
+  const auto b = Start("b");
+  EXPECT_TRUE(ProcessEventsUntil([&] { return b->context.roster.Get().entries.size() == 2; }));
+  EXPECT_EQ(b->context.roster.Get().in_force.size(), 2u);
+  EXPECT_TRUE(ProcessEventsUntil([&] {
+    return a->context.peers.Get().alive.contains(EntryId("b")) &&
+           b->context.peers.Get().alive.contains(EntryId("a"));
+  }));
+  EXPECT_TRUE(ProcessEventsUntil([&] { return b->context.roster.Get().in_force.size() == 1; }));
+}
+
+}  // namespace
+}  // namespace citronferry::node
