Add the planner lease as a pure decision

The lease counts from the start of the write that renewed it, and acting stops 2 s before its end. A candidate takes over only after it has seen the row unchanged for 10 s on its own clock. A pause ends acting until a renewal that was sent after it has succeeded. The outcome of a write without an answer is resolved by reading the row back; each write carries a number for this. A holder that finds a higher epoch in a row gives up and takes the lease again above that epoch, so that a removed lease row does not lock the planner out.

Ruled out: renewed wall-clock times in the row (no shared clock is needed), and an early release on shutdown (the takeover after 10 s is within the design).

--- /dev/null
+++ b/src/decisions/leadership/tests/lease_test.cc
@@ -0,0 +1,221 @@
+#include "decisions/leadership/lease.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+namespace citronferry::leadership {
+namespace {
+
+// A fixed seed gives the same verdict in every run.
+[[maybe_unused]] const int kFixedSeed = setenv("RC_PARAMS", "seed=4251 max_success=400", 1);
+
+/// The lease row in a table service.
+struct Table {
+  std::optional<LeaseRow> row;
+  uint64_t version = 0;
+
+  bool Write(const WriteRow& write) {
+    if (write.expected_version.value_or(0) != version) return false;
+    row = write.row;
+    ++version;
+    return true;
+  }
+};
+
+/// A candidate with at most one outstanding call.
+struct Candidate {
+  Lease lease;
+  std::optional<Action> call;
+  std::optional<Event> answer;  ///< Of a call that was carried out but not answered yet.
+  bool paused = false;
+
+  explicit Candidate(std::string name) : lease({.holder = std::move(name)}) {}
+
+  void Handle(const Event& event, TimePoint now) {
+    call.reset();
+    for (Action& action : lease.Handle(event, now)) call = std::move(action);
+  }
+  void CarryOut(Table& table) {
+    if (!call || answer) return;
+    if (std::holds_alternative<ReadRow>(*call)) {
+      answer = RowRead{.row = table.row, .version = table.version};
+    } else if (const auto& write = std::get<WriteRow>(*call); table.Write(write)) {
+      answer = WriteSucceeded{.renewed = write.row.renewed, .version = table.version};
+    } else {
+      answer = WriteUnconfirmed{};
+    }
+  }
+  void Answer(Table& table, TimePoint now) {
+    CarryOut(table);
+    if (answer) Handle(*std::exchange(answer, std::nullopt), now);
+  }
+  void Run(Table& table, TimePoint now) {
+    if (!call) Handle(Tick{}, now);
+    while (call) Answer(table, now);
+  }
+};
+
+class LeaseTest : public ::testing::Test {
+ protected:
+  void Advance(Duration duration, std::vector<Candidate*> running) {
+    for (const TimePoint end = m_now + duration; m_now < end;) {
+      m_now += 1s;
+      for (Candidate* candidate : running) candidate->Run(m_table, m_now);
+    }
+  }
+
+  TimePoint m_now{100s};
+  Table m_table;
+  Candidate m_a{"a"};
+  Candidate m_b{"b"};
+};
+
+// Guards against a lease that is taken from a live holder, and one that nobody takes over.
+TEST_F(LeaseTest, IsTakenOverTenSecondsAfterTheLastRenewal) {
+  Advance(60s, {&m_a, &m_b});
+  EXPECT_TRUE(m_a.lease.MayAct(m_now));
+  EXPECT_EQ(m_table.row->epoch, 1u);
+  // The last renewal is at most 3 s old.
+  Advance(6s, {&m_b});
+  EXPECT_EQ(m_table.row->holder, "a");
+  Advance(6s, {&m_b});
+  EXPECT_TRUE(m_b.lease.MayAct(m_now));
+  EXPECT_EQ(m_table.row->epoch, 2u);
+}
+
+// Guards against a holder that goes on in an outage: it stops 2 s before its lease ends.
+TEST_F(LeaseTest, HolderStopsActingDuringAnOutage) {
+  m_a.Run(m_table, m_now);
+  const TimePoint renewed = m_now;
+  EXPECT_TRUE(m_a.lease.MayAct(renewed + 7999ms));
+  EXPECT_FALSE(m_a.lease.MayAct(renewed + 8s));
+}
+
+// Guards against acting on a lease from before a pause, even one that still seems valid.
+TEST_F(LeaseTest, PausedHolderRenewsBeforeItActs) {
+  m_a.Run(m_table, m_now);
+  m_a.lease.Handle(Paused{}, m_now + 1s);
+  EXPECT_FALSE(m_a.lease.MayAct(m_now + 1s));
+  m_a.Run(m_table, m_now + 1s);
+  EXPECT_TRUE(m_a.lease.MayAct(m_now + 1s));
+}
+
+// Guards against acting on a renewal that was sent before the pause and answered after it.
+TEST_F(LeaseTest, RenewalFromBeforeAPauseDoesNotCount) {
+  m_a.Run(m_table, m_now);
+  m_now += 3s;
+  m_a.Handle(Tick{}, m_now);
+  const auto call = m_a.call;
+  m_a.Handle(Paused{}, m_now + 1s);
+  m_a.call = call;
+  m_a.Answer(m_table, m_now + 1s);
+  EXPECT_FALSE(m_a.lease.MayAct(m_now + 1s));
+  m_a.Run(m_table, m_now + 1s);
+  EXPECT_TRUE(m_a.lease.MayAct(m_now + 1s));
+}
+
+// Guards against a planner that waits for itself after the answer of its own write was lost.
+TEST_F(LeaseTest, LostAnswerOfTakeIsResolvedByReading) {
+  m_a.Handle(Tick{}, m_now);
+  m_a.Answer(m_table, m_now);
+  ASSERT_TRUE(m_table.Write(std::get<WriteRow>(*m_a.call)));
+  m_a.Handle(WriteUnconfirmed{}, m_now + 1s);
+  EXPECT_FALSE(m_a.lease.MayAct(m_now + 1s));
+  m_a.Answer(m_table, m_now + 2s);
+  EXPECT_TRUE(m_a.lease.MayAct(m_now + 2s));
+  EXPECT_FALSE(m_a.lease.MayAct(m_now + 8s)) << "the lease counts from the start of the write";
+}
+
+// Guards against a planner that is refused everywhere after the lease row was removed.
+TEST_F(LeaseTest, EpochContinuesAboveTheEpochsSeenInRows) {
+  m_a.Run(m_table, m_now);
+  m_a.lease.Handle(HigherEpochSeen{.epoch = 7}, m_now);
+  EXPECT_FALSE(m_a.lease.MayAct(m_now));
+  Advance(15s, {&m_a});
+  EXPECT_TRUE(m_a.lease.MayAct(m_now));
+  EXPECT_EQ(m_a.lease.epoch(), 8u);
+}
+
+/// Interleaves three candidates with pauses, lost answers, and writes that take effect late.
+class LeaseWorld {
+ public:
+  void Step(uint32_t command) {
+    Candidate& candidate = m_candidates[command % 3];
+    const uint32_t argument = command / 3;
+    m_now += Duration(std::chrono::milliseconds(argument / 16 % 700));
+    switch (argument % 16) {
+      case 0:
+        candidate.paused = true;
+        break;
+      case 1:
+      case 2:
+        if (std::exchange(candidate.paused, false)) {
+          const auto call = candidate.call;
+          candidate.Handle(Paused{}, m_now);
+          candidate.call = call;
+        }
+        break;
+      case 3:  // The answer is lost; the write takes effect now, later or never.
+        if (candidate.call && !candidate.answer &&
+            std::holds_alternative<WriteRow>(*candidate.call)) {
+          const WriteRow write = std::get<WriteRow>(*candidate.call);
+          if (argument % 2 == 0) m_table.Write(write);
+          m_late.push_back(write);
+          candidate.Handle(WriteUnconfirmed{}, m_now);
+        }
+        break;
+      case 4:
+        for (const WriteRow& write : std::exchange(m_late, {})) m_table.Write(write);
+        break;
+      case 5:
+        if (candidate.call && !candidate.answer &&
+            std::holds_alternative<ReadRow>(*candidate.call)) {
+          candidate.Handle(ReadFailed{}, m_now);
+        }
+        break;
+      case 6:
+        m_now += 4s;
+        break;
+      case 7:
+      case 8:
+        candidate.CarryOut(m_table);
+        break;
+      default:
+        if (candidate.paused) break;
+        if (!candidate.call) candidate.Handle(Tick{}, m_now);
+        if (argument % 3 != 0) candidate.Answer(m_table, m_now);
+    }
+  }
+  int Acting() const {
+    int acting = 0;
+    for (const Candidate& candidate : m_candidates) acting += candidate.lease.MayAct(m_now) ? 1 : 0;
+    return acting;
+  }
+
+ private:
+  TimePoint m_now{100s};
+  Table m_table;
+  std::vector<Candidate> m_candidates{Candidate("a"), Candidate("b"), Candidate("c")};
+  std::vector<WriteRow> m_late;
+};
+
+// Guards against two planners that act at one time.
+TEST(LeasePropertyTest, NeverTwoHoldersAct) {
+  int acted = 0;
+  EXPECT_TRUE(rc::check("at most one candidate may act", [&acted] {
+    const auto commands = *rc::gen::resize(
+        400, rc::gen::container<std::vector<uint32_t>>(rc::gen::inRange(0U, 1'000'000U)));
+    LeaseWorld world;
+    for (const uint32_t command : commands) {
+      world.Step(command);
+      RC_ASSERT(world.Acting() <= 1);
+      acted += world.Acting();
+    }
+  }));
+  EXPECT_GT(acted, 0) << "the property must not hold because nobody ever acts";
+}
+
+}  // namespace
+}  // namespace citronferry::leadership
