Run the planner in the supervisor tree and serve from ownership rows only

It drains an instance only after the pool row has recorded it as out, checks the lease immediately before each action, and makes way for a due renewal. A write that was not confirmed is seen in the next change feed. Status is published in NodeContext::planner. The codec of instance rows is shared with the fleet watcher; the gateway uses an instance only when its row says serving. The fleet watcher reads ownership only while its entry is in the roster: the planner waits for the roster's entries only, so a view from before could be older than a completed drain.

--- a/src/node/fleet/internal/fleet_watcher.cc
+++ b/src/node/fleet/internal/fleet_watcher.cc
@@ -1,7 +1,7 @@
-#include <QJsonDocument>
-#include <QJsonObject>
+#include <algorithm>
 
 #include "node/fleet/fleet_module.h"
+#include "node/planner/ownership_codec.h"
 #include "telemetry/log.h"
 
 namespace citronferry::node {
@@ -9,12 +9,16 @@
 
 // Two lost polls in a row still leave a leaving instance without new work within 3 s.
 constexpr Duration kPollPeriod = 1s;
-constexpr char kInstancesTable[] = "instances";
 
+/// A row that can not be read serves nothing.
 InstanceOwnership ParseOwnership(const platform::Row& row) {
-  const QJsonObject json = QJsonDocument::fromJson(QByteArray::fromStdString(row.value)).object();
-  return {.pool = PoolName(json.value(QLatin1String("pool")).toString().toStdString()),
-          .serving = json.value(QLatin1String("state")).toString() == QLatin1String("serving"),
+  const auto content = DecodeInstanceRow(row.value);
+  if (!content) {
+    Log(LogLevel::kError, "ownership_row_invalid", {{"instance", row.key}});
+    return {.version = row.version};
+  }
+  return {.pool = content->pool,
+          .serving = content->state == ownership::RowState::kServing,
           .version = row.version};
 }
 
@@ -43,7 +47,15 @@
     co_return true;
   }
 
+  /// The planner waits for the acknowledgements of the entries in the roster only. A view that was
+  /// read before this entry joined the roster could be older than a completed drain.
   QCoro::Task<bool> PollOwnership(FleetView& view) {
+    if (!IsInRoster()) {
+      const bool known = view.ownership_sequence > 0;
+      view.ownership.clear();
+      view.ownership_sequence = 0;
+      co_return known;
+    }
     const auto changes =
         co_await m_context.platform.tables().Changes(kInstancesTable, view.ownership_sequence);
     if (!changes.ok()) co_return false;
@@ -56,7 +68,14 @@
       }
     }
     view.ownership_sequence = changes->last_sequence;
-    co_return !changes->rows.empty();
+    co_return true;
+  }
+
+  bool IsInRoster() const {
+    const auto& entries = m_context.roster.Get().entries;
+    return std::any_of(entries.begin(), entries.end(), [this](const RosterEntry& entry) {
+      return entry.id == m_context.settings.id;
+    });
   }
 
   NodeContext& m_context;
--- a/src/node/gateway/internal/policy.cc
+++ b/src/node/gateway/internal/policy.cc
@@ -8,15 +8,11 @@
 namespace citronferry::node {
 namespace {
 
+/// The document only names the pool of an instance without a row yet; the planner creates the row.
 std::map<InstanceId, PoolName> PoolsOfInstances(const NodeContext& context) {
   std::map<InstanceId, PoolName> pools;
-  const auto& document = context.configuration.Get().document;
-  if (!document) return pools;
-  for (const document::Pool& pool : document->pools) {
-    for (const InstanceId& instance : pool.instances) pools[instance] = pool.name;
-  }
   for (const auto& [instance, ownership] : context.fleet.Get().ownership) {
-    pools[instance] = ownership.serving ? ownership.pool : PoolName();
+    if (ownership.serving) pools[instance] = ownership.pool;
   }
   return pools;
 }
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -10,6 +10,7 @@
 #include "node/internal/termination.h"
 #include "node/membership/membership_module.h"
 #include "node/node_context.h"
+#include "node/planner/planner_module.h"
 #include "supervision/task_scope.h"
 #include "telemetry/log.h"
 
@@ -33,6 +34,7 @@
   children.push_back(FleetModule::MakeChild(context));
   children.push_back(MembershipModule::MakeChild(context));
   children.push_back(GatewayModule::MakeChild(context));
+  children.push_back(PlannerModule::MakeChild(context));
   children.push_back(AdminModule::MakeChild(context));
   return Supervisor(
       context.timers,
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -69,6 +69,29 @@
   std::map<PoolName, size_t> waiting;
 };
 
+/// A pool as the planner sees it.
+struct PlannerPoolStatus {
+  PoolName pool;
+  std::string wave;  ///< Wave in progress; empty when there is none.
+  int instances = 0;
+  int remaining = 0;               ///< Instances that the wave still has to maintain.
+  int planned = 0;                 ///< Out for a wave or a move.
+  int unplanned = 0;               ///< Failed, missing or leaving.
+  int allowed = 0;                 ///< Instances that may be out on purpose at once now.
+  std::vector<InstanceId> failed;  ///< Did not come back from maintenance in time.
+  Duration estimate{};             ///< Time until the wave ends; zero if unknown.
+  Duration lower_bound{};          ///< Shortest time for the whole wave within the budget.
+};
+
+/// What the planner of this entry does. Pools and moves are known only while it holds the lease.
+struct PlannerStatus {
+  std::string holder;  ///< Holder of the lease as last seen.
+  bool acting = false;
+  uint64_t epoch = 0;
+  std::vector<PlannerPoolStatus> pools;
+  std::map<InstanceId, PoolName> moving;  ///< Instances on the way to another pool.
+};
+
 /// State and services that the parts of a node share. Each observable has one owner that sets it.
 struct NodeContext {
   const document::Settings& settings;
@@ -82,6 +105,7 @@
   Observable<RosterView> roster;                  ///< Set by membership.
   Observable<SlotAdjustments> slot_adjustments;   ///< Set by membership.
   Observable<Lifecycle> lifecycle;                ///< Set by the node and the drain command.
+  Observable<PlannerStatus> planner;              ///< Set by the planner.
   std::function<GatewayLoad()> read_load;         ///< Set by the gateway while it runs.
 };
 
--- /dev/null
+++ b/src/node/planner/internal/planner_service.h
@@ -0,0 +1,67 @@
+#ifndef CITRONFERRY_NODE_PLANNER_INTERNAL_PLANNER_SERVICE_H_
+#define CITRONFERRY_NODE_PLANNER_INTERNAL_PLANNER_SERVICE_H_
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "decisions/leadership/lease.h"
+#include "node/node_context.h"
+#include "node/planner/internal/planning.h"
+#include "supervision/supervisor.h"
+
+namespace citronferry::node {
+
+/// Takes part in the election of the planner and, as long as it holds the lease, carries out what
+/// the decisions ask for. Only the holder reads and writes rows besides the lease.
+class PlannerService : public Service {
+ public:
+  PlannerService(NodeContext& context, platform::TableService& tables,
+                 platform::InstanceService& instances);
+
+  QCoro::Task<Ret> Run() override;
+  void Stop() override { m_stop.Request(); }
+
+ private:
+  QCoro::Task<void> UpdateLease();
+  QCoro::Task<leadership::Event> ReadLease(leadership::Action action);
+  QCoro::Task<leadership::Event> WriteLease(leadership::Action action);
+
+  QCoro::Task<void> Plan();
+  QCoro::Task<bool> Observe();
+  QCoro::Task<bool> ObserveInstanceRows();
+  QCoro::Task<bool> ObservePoolRows();
+  QCoro::Task<bool> ObserveRoster();
+  QCoro::Task<bool> ObserveList();
+  void ObserveDocument();
+  void ObserveDemand();
+
+  QCoro::Task<void> WritePool(PlanningAction action);
+  QCoro::Task<void> WriteInstance(PlanningAction action);
+  QCoro::Task<void> Reboot(PlanningAction action);
+  QCoro::Task<void> ReportFailed(PlanningAction action);
+  /// Writes a row on condition; a write that was not confirmed is seen in the next change feed.
+  QCoro::Task<RetVal<platform::Row>> Write(platform::RowKey key, std::string value,
+                                           std::optional<uint64_t> expected_version);
+
+  bool MayAct() const { return m_lease.MayAct(m_context.timers.Now()); }
+  void PublishStatus();
+
+  NodeContext& m_context;
+  platform::TableService& m_tables;
+  platform::InstanceService& m_instances;
+  StopSignal m_stop;
+  leadership::Lease m_lease;
+  Planning m_planning;
+  bool m_was_acting = false;
+  uint64_t m_document_version = 0;
+  uint64_t m_instances_sequence = 0;
+  uint64_t m_pools_sequence = 0;
+  uint64_t m_entries_sequence = 0;
+  std::map<EntryId, ownership::EntryReport> m_entries;
+  Subscription m_pauses;
+};
+
+}  // namespace citronferry::node
+
+#endif  // CITRONFERRY_NODE_PLANNER_INTERNAL_PLANNER_SERVICE_H_
--- /dev/null
+++ b/src/node/planner/tests/planning_test.cc
@@ -0,0 +1,90 @@
+#include "node/planner/internal/planning.h"
+
+#include <gtest/gtest.h>
+
+#include "node/gateway/internal/policy.h"
+#include "node/planner/internal/row_codec.h"
+#include "node/planner/ownership_codec.h"
+#include "supervision/timer_queue.h"
+
+namespace citronferry::node {
+namespace {
+
+// Guards against rows that lose a field on the way through the table service, after which another
+// planner would continue with something else.
+TEST(RowCodecTest, RowsSurviveEncoding) {
+  const ownership::InstanceRow instance{.pool = PoolName("a"),
+                                        .state = ownership::RowState::kDetached,
+                                        .target = PoolName("b"),
+                                        .epoch = 3,
+                                        .home = PoolName("a"),
+                                        .document = 7};
+  EXPECT_EQ(DecodeInstanceRow(EncodeInstanceRow(instance)), instance);
+  const maintenance::PoolRow pool{.epoch = 3,
+                                  .document = 7,
+                                  .out = {{.instance = InstanceId("i1"),
+                                           .reason = maintenance::OutReason::kMove,
+                                           .target = PoolName("b"),
+                                           .row_version = 9,
+                                           .generation = 2,
+                                           .since = 1'800'000'000}},
+                                  .wave = "kernel",
+                                  .generation = 2,
+                                  .done = {InstanceId("i2")},
+                                  .previous = {InstanceId("i3")},
+                                  .completed = {{"kernel", 1}}};
+  EXPECT_EQ(DecodePoolRow(EncodePoolRow(pool)), pool);
+  const leadership::LeaseRow lease{.holder = "e1/0f", .epoch = 4, .renewed = 5};
+  EXPECT_EQ(DecodeLeaseRow(EncodeLeaseRow(lease)), lease);
+}
+
+// Guards against serving from a row that an operator damaged.
+TEST(RowCodecTest, DamagedInstanceRowsAreRefused) {
+  EXPECT_FALSE(DecodeInstanceRow("{"));
+  EXPECT_FALSE(DecodeInstanceRow(R"({"pool":"a","state":"Serving"})"));
+  EXPECT_FALSE(DecodeInstanceRow(R"({"pool":"","state":"serving"})"));
+  EXPECT_FALSE(DecodeInstanceRow(R"({"pool":"a","state":"draining"})"));
+}
+
+// Guards against requests to an instance that is not attached, also when its row does not exist
+// yet.
+TEST(PolicyTest, OnlyServingRowsAreUsed) {
+  Metrics metrics;
+  platform::PlatformModule platform({.url = "http://127.0.0.1:1"});
+  ManualTimerService timers;
+  const document::Settings settings{.id = EntryId("e0")};
+  NodeContext context{
+      .settings = settings, .timers = timers, .metrics = metrics, .platform = platform};
+  auto document = std::make_shared<document::Document>();
+  document->pools = {{.name = PoolName("a"), .instances = {InstanceId("i0"), InstanceId("i1")}}};
+  context.configuration.Set({.version = 1, .document = std::move(document)});
+  FleetView fleet;
+  fleet.instances = {{.id = InstanceId("i0")}, {.id = InstanceId("i1")}, {.id = InstanceId("i2")}};
+  fleet.ownership[InstanceId("i1")] = {.pool = PoolName("a"), .serving = false};
+  fleet.ownership[InstanceId("i2")] = {.pool = PoolName("b"), .serving = true};
+  context.fleet.Set(std::move(fleet));
+  const auto executors = MakeExecutorStates(context);
+  ASSERT_EQ(executors.size(), 1u);
+  EXPECT_EQ(executors[0].pool, PoolName("b"));
+}
+
+// Guards against an instance of two pools, and against a budget that is not the smallest one.
+TEST(PlanningTest, DocumentIsReducedToOnePoolAndTheSmallestBudget) {
+  Planning planning(EntryId("e0"));
+  document::Document document;
+  const InstanceId shared("i1");
+  document.pools = {{.name = PoolName("a"), .instances = {shared, InstanceId("i2")}},
+                    {.name = PoolName("b"), .instances = {shared}}};
+  document.services = {
+      {.name = ServiceName("s"), .pool = PoolName("a"), .max_unavailable = 5, .reserve = 1},
+      {.name = ServiceName("t"), .pool = PoolName("a"), .max_unavailable = 3, .reserve = 1}};
+  EXPECT_EQ(planning.Observe(document, 1, TimePoint(1s)), std::vector{shared});
+  EXPECT_EQ(planning.ownership().homes().at(shared), PoolName("a"));
+  const std::vector<platform::InstanceInfo> list{{.id = InstanceId("e0")}, {.id = shared}};
+  planning.Observe(list, TimePoint(1s), TimePoint(1s));
+  planning.Step(1, 0, TimePoint(1s));
+  EXPECT_EQ(planning.maintenance().progress()[0].allowed, 2);
+}
+
+}  // namespace
+}  // namespace citronferry::node
