Test demand moves: not early, not below the minimum, one at a time

Cause: the choice of a donor pool had no test of its own. The new test guards against moves before five minutes of demand, from a pool at its minimum, from a pool without slack, and against a second move of a pool.

--- a/src/decisions/ownership/tests/ownership_test.cc
+++ b/src/decisions/ownership/tests/ownership_test.cc
@@ -296,16 +296,15 @@
   for (int second = 0; second <= 10; ++second, m_now += 1s) {
     Observe(std::vector<std::string>{"e0", "i0"});
   }
-  m_planner.Handle(RosterObserved{.read_started = m_now,
-                                  .entries = {{.id = EntryId("e0"), .acknowledged_sequence = 99}}},
-                   m_now);
+  RosterObserved roster{.read_started = m_now,
+                        .entries = {{.id = EntryId("e0"), .acknowledged_sequence = 99}}};
+  m_planner.Handle(roster, m_now);
   m_now += 1s;
   Observe(Draining("b"));
   EXPECT_TRUE(Tick().empty());
-  m_planner.Handle(RosterObserved{.read_started = m_now,
-                                  .entries = {{.id = EntryId("e0"), .acknowledged_sequence = 99},
-                                              {.id = EntryId("e1"), .version = 2}}},
-                   m_now);
+  roster.read_started = m_now;
+  roster.entries.push_back({.id = EntryId("e1"), .version = 2});
+  m_planner.Handle(roster, m_now);
   EXPECT_TRUE(Tick().empty());
 }
 
@@ -369,5 +368,57 @@
   EXPECT_EQ(std::get<ReportHigherEpoch>(actions[0]).epoch, 5u);
 }
 
+/// @return the moves requested in six minutes of demand for pool a; pool c has two idle instances.
+std::vector<RequestMove> MovesUnderDemand(PoolPlan plan_of_c, const InstanceRow& row_of_i1) {
+  TimePoint now{1h};
+  Ownership planner({.self = EntryId("e0")});
+  DocumentObserved document{.version = 1};
+  document.pools = {{kPools[0], {}}, {kPools[2], plan_of_c}};
+  document.homes = {
+      {kInstances[0], kPools[0]}, {kInstances[1], kPools[2]}, {kInstances[2], kPools[2]}};
+  planner.Handle(document, now);
+  for (const auto& [id, pool] : document.homes) {
+    const InstanceRow row =
+        id == kInstances[1] ? row_of_i1 : InstanceRow{.pool = pool, .home = pool};
+    planner.Handle(RowObserved{.id = id, .row = row, .version = 1}, now);
+  }
+  ListObserved list{.instances = {{InstanceId("e0"), true}}};
+  for (const InstanceId& id : kInstances) list.instances.push_back({.id = id, .live = true});
+  std::vector<RequestMove> moves;
+  for (int second = 0; second < 360; ++second, now += 1s) {
+    list.read_started = now;
+    planner.Handle(list, now);
+    planner.Handle(RosterObserved{.read_started = now}, now);
+    planner.Handle(DemandObserved{{{kPools[0], {.waiting = 9, .free_slots = 0, .slots = 8}},
+                                   {kPools[2], {.waiting = 0, .free_slots = 9, .slots = 16}}}},
+                   now);
+    for (const Action& action : planner.Handle(Tick{.epoch = 1}, now)) {
+      const auto* move = std::get_if<RequestMove>(&action);
+      if (!move) continue;
+      EXPECT_GE(second, 300) << "the demand has not lasted yet";
+      moves.push_back(*move);
+    }
+  }
+  return moves;
+}
+
+// Guards against demand moves that come early, take from a pool without slack or below its minimum,
+// or run two at a time.
+TEST(OwnershipDemandTest, OnlyOneInstanceOfThePoolsThatCanSpareItMoves) {
+  const InstanceRow serving{.pool = kPools[2], .home = kPools[2]};
+  const auto moves = MovesUnderDemand({.spare = true}, serving);
+  ASSERT_FALSE(moves.empty()) << "requested until the pool row grants it";
+  for (const RequestMove& move : moves) {
+    EXPECT_EQ(move.id, kInstances[1]);
+    EXPECT_EQ(move.target, kPools[0]);
+  }
+  EXPECT_TRUE(MovesUnderDemand({.spare = true, .min_instances = 2}, serving).empty());
+  EXPECT_TRUE(MovesUnderDemand({.spare = false}, serving).empty()) << "slack needs ten minutes";
+  InstanceRow moving = serving;
+  moving.state = RowState::kDraining;
+  moving.target = kPools[0];
+  EXPECT_TRUE(MovesUnderDemand({.spare = true, .min_instances = 0}, moving).empty());
+}
+
 }  // namespace
 }  // namespace citronferry::ownership
