--- a/src/node/configuration/internal/configuration_watcher.cc
+++ b/src/node/configuration/internal/configuration_watcher.cc
@@ -107,6 +107,11 @@
       Handle(rollout::DocumentInvalid{id});
       co_return;
     }
+    if (!document::AllowsEnvironment(parsed.document, m_context.settings.environment)) {
+      m_problem = "the document is not meant for environment " + m_context.settings.environment;
+      Handle(rollout::DocumentInvalid{id});
+      co_return;
+    }
     m_fetched = {.version = id.version,
                  .digest = id.digest,
                  .text = *text,
