--- a/src/node/admin/internal/status.cc
+++ b/src/node/admin/internal/status.cc
@@ -66,6 +66,10 @@
       if (free != load.free_slots.end()) free_slots += std::max(0, free->second);
     }
     const auto waiting = load.waiting.find(pool.name);
+    QJsonArray out;
+    for (const auto& [id, ownership] : fleet.ownership) {
+      if (ownership.pool == pool.name && !ownership.serving) out.append(Text(id.view()));
+    }
     pools.append(
         QJsonObject{{QStringLiteral("name"), Text(pool.name.view())},
                     {QStringLiteral("instances"), instances},
@@ -73,11 +77,43 @@
                     {QStringLiteral("max_unavailable"), MaxUnavailable(*document, pool.name)},
                     {QStringLiteral("waiting"),
                      waiting == load.waiting.end() ? 0 : static_cast<qint64>(waiting->second)},
+                    {QStringLiteral("out"), out},
                     {QStringLiteral("free_slots"), free_slots}});
   }
   return pools;
 }
 
+/// @return what the planner does; pools and moves are known on the holder of the lease only.
+QJsonObject RenderPlanner(const PlannerStatus& planner) {
+  QJsonObject moving;
+  for (const auto& [instance, target] : planner.moving) {
+    moving.insert(Text(instance.view()), Text(target.view()));
+  }
+  return {{QStringLiteral("holder"), Text(planner.holder)},
+          {QStringLiteral("acting"), planner.acting},
+          {QStringLiteral("epoch"), static_cast<qint64>(planner.epoch)},
+          {QStringLiteral("moving"), moving}};
+}
+
+QJsonArray RenderWaves(const PlannerStatus& planner) {
+  QJsonArray waves;
+  for (const PlannerPoolStatus& pool : planner.pools) {
+    if (pool.wave.empty()) continue;
+    QJsonArray failed;
+    for (const InstanceId& instance : pool.failed) failed.append(Text(instance.view()));
+    waves.append(QJsonObject{{QStringLiteral("name"), Text(pool.wave)},
+                             {QStringLiteral("pool"), Text(pool.pool.view())},
+                             {QStringLiteral("done"), pool.instances - pool.remaining},
+                             {QStringLiteral("total"), pool.instances},
+                             {QStringLiteral("planned_out"), pool.planned},
+                             {QStringLiteral("unplanned_out"), pool.unplanned},
+                             {QStringLiteral("allowed_out"), pool.allowed},
+                             {QStringLiteral("failed"), failed},
+                             {QStringLiteral("seconds_left"), ToSeconds(pool.estimate)}});
+  }
+  return waves;
+}
+
 QJsonObject RenderOutcomes(const NodeContext& context) {
   QJsonObject outcomes;
   for (const char* outcome : kOutcomes) {
@@ -109,6 +145,8 @@
                    {QStringLiteral("digest"), Text(configuration.digest)}}},
       {QStringLiteral("entries"), RenderEntries(context)},
       {QStringLiteral("pools"), RenderPools(context)},
+      {QStringLiteral("planner"), RenderPlanner(context.planner.Get())},
+      {QStringLiteral("waves"), RenderWaves(context.planner.Get())},
       {QStringLiteral("outcomes"), RenderOutcomes(context)}};
   return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
