Move the executors by name out of the dispatch engine

Cause: engine.cc mixed the handling of events with the bookkeeping of executors: the list, executors that have left it, and which failures count against a request.

--- a/src/decisions/dispatch/internal/engine.cc
+++ b/src/decisions/dispatch/internal/engine.cc
@@ -68,18 +68,6 @@
   return counts;
 }
 
-std::vector<ExecutorLoad> Engine::ReadExecutors() const {
-  std::vector<ExecutorLoad> loads;
-  loads.reserve(m_executors.size());
-  for (const auto& [id, executor] : m_executors) {
-    loads.push_back({.id = id,
-                     .slots = executor->pool ? executor->slots : 0,
-                     .in_use = executor->in_use,
-                     .ejected = executor->health.IsEjected()});
-  }
-  return loads;
-}
-
 std::vector<QueueLoad> Engine::ReadQueues() const {
   std::vector<QueueLoad> loads;
   for (const auto& [name, queue] : m_queues) {
@@ -146,37 +134,12 @@
 }
 
 void Engine::OnExecutorsChanged(const Event& event) {
-  ++m_list;
+  m_executors.BeginList();
   for (const ExecutorState& state : std::get<ExecutorsChanged>(event).executors) {
-    auto& executor = m_executors[state.id];
-    if (!executor) executor = std::make_unique<Executor>(Executor{.id = state.id});
-    executor->list = m_list;
-    UpdateExecutor(*executor, state);
-  }
-  std::erase_if(m_executors, [this](const auto& item) {
-    Executor& executor = *item.second;
-    if (executor.list == m_list) return false;
-    if (executor.pool) executor.pool->executors.Remove(executor);
-    executor.pool = nullptr;
-    return executor.in_use == 0;
-  });
-}
-
-void Engine::UpdateExecutor(Executor& executor, const ExecutorState& state) {
-  PoolState& pool = PoolOf(state.pool);
-  const bool moved = executor.pool != &pool;
-  // The list is read again whenever anything around the fleet changes; most of it stays the same.
-  if (!moved && executor.slots == state.slots && executor.leaving == state.leaving) return;
-  if (moved && executor.pool) executor.pool->executors.Remove(executor);
-  executor.slots = state.slots;
-  executor.leaving = state.leaving;
-  if (moved) {
-    executor.pool = &pool;
-    pool.executors.Add(executor, m_now);
-  } else {
-    pool.executors.Refresh(executor, m_now);
+    PoolState& pool = PoolOf(state.pool);
+    if (m_executors.Update(state, pool, m_now)) MarkDirty(pool);
   }
-  MarkDirty(pool);
+  m_executors.EndList();
 }
 
 void Engine::OnRequestArrived(const Event& event) {
@@ -271,20 +234,13 @@
     ++failed.attempts;
     failed.may_have_run |= rule.may_have_run;
   }
-  --executor.in_use;
-  if (record.priority != Priority::kUrgent) --executor.in_use_by_others;
-  if (!executor.pool) {
-    if (executor.in_use == 0) m_executors.erase(InstanceId(executor.id));
-    return;
-  }
   // A caller that goes away cuts its attempt off; a wave of cancellations must not eject anyone.
   const bool cut_off = record.cancelled && !success;
-  if (rule.judges_executor && !cut_off) {
-    executor.pool->executors.Judge(executor, success, m_now);
-  } else {
-    executor.pool->executors.Refresh(executor, m_now);
+  const bool urgent = record.priority == Priority::kUrgent;
+  const bool judged = rule.judges_executor && !cut_off;
+  if (PoolState* pool = m_executors.Release(executor, urgent, judged, success, m_now)) {
+    MarkDirty(*pool);
   }
-  MarkDirty(*executor.pool);
 }
 
 void Engine::Answer(RequestRecord& record) {
@@ -303,12 +259,12 @@
 
 void Engine::Retry(RequestRecord& record) {
   const int max_attempts = record.queue->policy.max_attempts;
-  if (CountTrustedFailures(record) >= kCondemningExecutors) {
-    ForgiveExecutors(record);
+  if (m_executors.CountTrustedFailures(record) >= kCondemningExecutors) {
+    m_executors.Forgive(record, m_now);
     record.verdict = Verdict::kFailed;
     return End(record, "can never run: it failed on 3 different healthy executors");
   }
-  if (CountAttempts(record) >= max_attempts ||
+  if (m_executors.CountAttempts(record) >= max_attempts ||
       record.attempts >= max_attempts * kSickAttemptsFactor) {
     return End(record, std::string(FailureReason(record.verdict)), kRetryAfterFailure);
   }
@@ -324,37 +280,6 @@
   Enqueue(record, Place::kRetrying);
 }
 
-const Executor* Engine::FindTrusted(const InstanceId& id) const {
-  const auto item = m_executors.find(id);
-  if (item == m_executors.end() || !item->second->health.IsTrusted()) return nullptr;
-  return item->second.get();
-}
-
-int Engine::CountTrustedFailures(const RequestRecord& record) const {
-  return static_cast<int>(std::count_if(
-      record.failed_on.begin(), record.failed_on.end(), [this](const FailedOn& failed) {
-        return failed.may_have_run && FindTrusted(failed.executor);
-      }));
-}
-
-int Engine::CountAttempts(const RequestRecord& record) const {
-  int attempts = 0;
-  for (const FailedOn& failed : record.failed_on) {
-    if (FindTrusted(failed.executor)) attempts += failed.attempts;
-  }
-  return attempts;
-}
-
-void Engine::ForgiveExecutors(const RequestRecord& record) {
-  for (const FailedOn& failed : record.failed_on) {
-    const auto item = m_executors.find(failed.executor);
-    if (item == m_executors.end()) continue;
-    Executor& executor = *item->second;
-    executor.health.ForgiveFailure();
-    if (executor.pool) executor.pool->executors.Refresh(executor, m_now);
-  }
-}
-
 void Engine::ExpireWaiting() {
   while (const auto expired = m_expiry.FindExpired(m_now)) {
     RequestRecord& record = *m_records.at(*expired);
@@ -440,13 +365,7 @@
 Executor* Engine::ChooseExecutor(const RequestRecord& record) const {
   const bool urgent = record.priority == Priority::kUrgent;
   if (!record.pool->executors.HasFree(urgent)) return nullptr;
-  std::vector<const Executor*> avoid;
-  for (const FailedOn& failed : record.failed_on) {
-    const auto item = m_executors.find(failed.executor);
-    if (item == m_executors.end()) continue;
-    const Executor& executor = *item->second;
-    if (executor.pool == record.pool && executor.offer.limit > 0) avoid.push_back(&executor);
-  }
+  const std::vector<const Executor*> avoid = m_executors.FindFailed(record);
   return record.pool->executors.Choose(
       {.avoid = avoid, .urgent = urgent, .may_probe = record.idempotent && record.attempts == 0},
       m_now);
--- a/src/decisions/dispatch/internal/engine.h
+++ b/src/decisions/dispatch/internal/engine.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "decisions/dispatch/internal/executor_table.h"
 #include "decisions/dispatch/internal/expiry_index.h"
 #include "decisions/dispatch/internal/state.h"
 
@@ -20,7 +21,7 @@
   size_t queued() const { return m_waiting; }
   size_t running() const { return m_records.size() - m_waiting; }
   std::map<PoolName, size_t> WaitingByPool() const;
-  std::vector<ExecutorLoad> ReadExecutors() const;
+  std::vector<ExecutorLoad> ReadExecutors() const { return m_executors.Read(); }
   std::vector<QueueLoad> ReadQueues() const;
 
  private:
@@ -42,7 +43,6 @@
   void OnAttemptEnded(const Event& event);
   void OnTick(const Event& event);
 
-  void UpdateExecutor(Executor& executor, const ExecutorState& state);
   void DeclareQueues(const Policy& policy);
   void DeclareTeams(const Policy& policy);
   void DropHopeless(const QueueState& queue);
@@ -54,10 +54,6 @@
   void LearnRunTime(const RequestRecord& record, AttemptOutcome outcome);
   void ReleaseSlot(RequestRecord& record, const OutcomeRule& rule);
   void Retry(RequestRecord& record);
-  const Executor* FindTrusted(const InstanceId& id) const;
-  int CountTrustedFailures(const RequestRecord& record) const;
-  int CountAttempts(const RequestRecord& record) const;
-  void ForgiveExecutors(const RequestRecord& record);
 
   void ExpireWaiting();
   void StartWaiting();
@@ -81,7 +77,7 @@
   std::map<QueueName, std::unique_ptr<QueueState>> m_queues;
   std::map<TeamName, std::unique_ptr<TeamState>> m_teams;
   std::map<PoolName, std::unique_ptr<PoolState>> m_pools;
-  std::map<InstanceId, std::unique_ptr<Executor>> m_executors;
+  ExecutorTable m_executors;
   std::unordered_map<RequestNumber, std::unique_ptr<RequestRecord>> m_records;
   ExpiryIndex m_expiry;
   std::vector<PoolState*> m_dirty;
@@ -89,7 +85,6 @@
   double m_retry_ratio = 0.1;
   bool m_any_team = true;  ///< The policy declares no teams, so that all are equal.
   size_t m_waiting = 0;
-  uint64_t m_list = 0;  ///< Number of the latest list of executors.
   TimePoint m_now{};
 };
 
