Decide at-most-once claims and their settlement

Leases are judged by the observer's own clock, since entries share none.

The model test runs three submissions of one key that interleave freely, with lost and late writes, outages, pauses and entries that die at any step.

--- /dev/null
+++ b/src/decisions/requests/internal/standing.cc
@@ -0,0 +1,33 @@
+#include "decisions/requests/standing.h"
+
+namespace citronferry::requests {
+namespace {
+
+// About 1 MB. Beyond it the sightings start anew, which only delays the answer "unknown".
+constexpr size_t kMaxSightings = 10000;
+
+}  // namespace
+
+bool ClaimObserver::HasLapsed(std::string_view key, uint64_t version, Duration lease,
+                              TimePoint now) {
+  const auto known = m_sightings.find(key);
+  if (known != m_sightings.end() && known->second.version == version) {
+    return now - known->second.first_seen >= lease;
+  }
+  if (m_sightings.size() >= kMaxSightings) m_sightings.clear();
+  m_sightings[std::string(key)] = {.version = version, .first_seen = now};
+  return false;
+}
+
+Standing Judge(const Record& record, std::string_view fingerprint, bool claim_lost) {
+  const bool is_cancellation = record.fingerprint.empty();
+  if (!fingerprint.empty() && !is_cancellation && record.fingerprint != fingerprint) {
+    return Standing::kMismatch;
+  }
+  if (record.state == State::kEnded) {
+    return record.answer.outcome == Outcome::kNotRun ? Standing::kReusable : Standing::kRecorded;
+  }
+  return claim_lost ? Standing::kUnknown : Standing::kInProgress;
+}
+
+}  // namespace citronferry::requests
--- /dev/null
+++ b/src/decisions/requests/tests/ledger_test.cc
@@ -0,0 +1,307 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <memory>
+
+#include "decisions/requests/settlement.h"
+#include "decisions/requests/standing.h"
+
+namespace citronferry::requests {
+namespace {
+
+Record MakeClaim(std::string token, Duration lease = 30s) {
+  return {.token = std::move(token), .fingerprint = "f", .lease = lease};
+}
+
+Record End(Record record, Outcome outcome) {
+  record.state = State::kEnded;
+  record.answer.outcome = outcome;
+  return record;
+}
+
+template <typename T>
+const T* Only(const std::vector<ClaimAction>& actions) {
+  return actions.size() == 1 ? std::get_if<T>(&actions[0]) : nullptr;
+}
+
+constexpr TimePoint kStart{1s};
+
+// Guards against sending after the answer of the claim was lost and the row can not be read, and
+// against leaving that claim in the table, which would block the key for good.
+TEST(ClaimTest, LostAnswerWithUnreadableRowIsNotSentAndIsReleased) {
+  Claim claim(MakeClaim("a"), kStart + 10s);
+  ASSERT_TRUE(Only<WriteClaim>(claim.Handle(SlotHeld{}, kStart)));
+  ASSERT_TRUE(Only<ReadRow>(claim.Handle(ClaimWritten{ErrorCode::kUnknownOutcome}, kStart)));
+  const auto actions = claim.Handle(RowRead{ErrorCode::kUnavailable, {}}, kStart);
+  const auto* refusal = Only<RefuseRequest>(actions);
+  ASSERT_TRUE(refusal);
+  EXPECT_EQ(refusal->reason, RefusalReason::kStoreUnavailable);
+  EXPECT_TRUE(refusal->release);
+  // A read that succeeds too late must not revive the claim.
+  EXPECT_FALSE(
+      Only<SendRequest>(claim.Handle(RowRead{ErrorCode::kOk, {MakeClaim("a"), 1}}, kStart)));
+}
+
+// Guards against refusing work for nothing: the row shows that the claim took effect.
+TEST(ClaimTest, LostAnswerIsResolvedByReadingTheRowBack) {
+  Claim claim(MakeClaim("a"), kStart + 10s);
+  claim.Handle(SlotHeld{}, kStart);
+  claim.Handle(ClaimWritten{ErrorCode::kUnknownOutcome}, kStart);
+  EXPECT_TRUE(
+      Only<SendRequest>(claim.Handle(RowRead{ErrorCode::kOk, {MakeClaim("a"), 1}}, kStart)));
+}
+
+// Guards against a second run when a conflict can not be read: another submission has the key, so
+// "not run" would be untrue of the request.
+TEST(ClaimTest, UnreadableConflictIsADuplicateAndNotAStoreOutage) {
+  Claim claim(MakeClaim("a"), kStart + 10s);
+  claim.Handle(SlotHeld{}, kStart);
+  claim.Handle(ClaimWritten{ErrorCode::kConflict}, kStart);
+  const auto actions = claim.Handle(RowRead{ErrorCode::kUnavailable, {}}, kStart);
+  ASSERT_TRUE(Only<RefuseRequest>(actions));
+  EXPECT_EQ(Only<RefuseRequest>(actions)->reason, RefusalReason::kDuplicateUnread);
+}
+
+// Guards against a process that was paused while it claimed and sends with a lapsed lease or
+// deadline, when others have already reported the request.
+TEST(ClaimTest, NothingIsSentAfterLeaseOrDeadline) {
+  for (const Duration lease : {5s, 60s}) {
+    Claim claim(MakeClaim("a", lease), kStart + 10s);
+    claim.Handle(SlotHeld{}, kStart);
+    const auto actions =
+        claim.Handle(ClaimWritten{.version = 1}, kStart + std::min<Duration>(lease, 10s));
+    ASSERT_TRUE(Only<RefuseRequest>(actions));
+    EXPECT_TRUE(Only<RefuseRequest>(actions)->release);
+    Claim retried(MakeClaim("a", lease), kStart + 10s);
+    retried.Handle(SlotHeld{}, kStart);
+    ASSERT_TRUE(Only<SendRequest>(retried.Handle(ClaimWritten{.version = 1}, kStart)));
+    EXPECT_TRUE(Only<SendRequest>(retried.Handle(SlotHeld{}, kStart + 4s)));
+    EXPECT_TRUE(Only<RefuseRequest>(retried.Handle(SlotHeld{}, kStart + 11s)));
+  }
+}
+
+// Guards against running a request under a key that belongs to another body, and against showing
+// its answer.
+TEST(StandingTest, JudgesRows) {
+  const Record claimed = MakeClaim("a");
+  EXPECT_EQ(Judge(claimed, "f", false), Standing::kInProgress);
+  EXPECT_EQ(Judge(claimed, "f", true), Standing::kUnknown);
+  EXPECT_EQ(Judge(claimed, "g", true), Standing::kMismatch);
+  EXPECT_EQ(Judge(End(claimed, Outcome::kAnswered), "g", false), Standing::kMismatch);
+  EXPECT_EQ(Judge(End(claimed, Outcome::kAnswered), "f", true), Standing::kRecorded);
+  EXPECT_EQ(Judge(End(claimed, Outcome::kNotRun), "", true), Standing::kReusable);
+  Record cancelled = End({}, Outcome::kCancelled);
+  EXPECT_EQ(Judge(cancelled, "f", false), Standing::kRecorded);
+}
+
+// Guards against judging a lease by another entry's clock: only this process's observation counts.
+TEST(StandingTest, LeaseLapsesAfterItWasSeenUnchanged) {
+  ClaimObserver observer;
+  EXPECT_FALSE(observer.HasLapsed("k", 1, 30s, kStart));
+  EXPECT_FALSE(observer.HasLapsed("k", 1, 30s, kStart + 29s));
+  EXPECT_FALSE(observer.HasLapsed("k", 2, 30s, kStart + 30s));
+  EXPECT_TRUE(observer.HasLapsed("k", 2, 30s, kStart + 60s));
+}
+
+/// Yields the fixed choices of one generated case, and zeros (no fault) after them.
+class Choices {
+ public:
+  explicit Choices(std::vector<int> values) : m_values(std::move(values)) {}
+  int Next(int bound) { return m_next < m_values.size() ? m_values[m_next++] % bound : 0; }
+  bool exhausted() const { return m_next >= m_values.size(); }
+
+ private:
+  std::vector<int> m_values;
+  size_t m_next = 0;
+};
+
+/// Table row whose calls fail, lose their answers, or take effect late.
+class FaultyRow {
+ public:
+  explicit FaultyRow(Choices& choices) : m_choices(choices) {}
+
+  std::pair<ErrorCode, uint64_t> Write(const Record& record, std::optional<uint64_t> expected) {
+    switch (m_choices.Next(8)) {
+      case 1:
+        return {ErrorCode::kUnavailable, 0};
+      case 2:
+        return {ErrorCode::kUnknownOutcome, 0};
+      case 3:
+        Apply(record, expected);
+        return {ErrorCode::kUnknownOutcome, 0};
+      case 4:
+        m_late.push_back({record, expected});
+        return {ErrorCode::kUnknownOutcome, 0};
+      default:
+        return Apply(record, expected);
+    }
+  }
+  RowRead Read() {
+    if (m_choices.Next(5) == 1) return {.code = ErrorCode::kUnavailable};
+    if (!m_row) return {.code = ErrorCode::kNotFound};
+    return {.row = *m_row};
+  }
+  void ApplyLateWrites() {
+    for (const auto& [record, expected] : std::exchange(m_late, {})) Apply(record, expected);
+  }
+  const std::optional<RecordRow>& row() const { return m_row; }
+
+ private:
+  std::pair<ErrorCode, uint64_t> Apply(const Record& record, std::optional<uint64_t> expected) {
+    const bool matches = expected ? m_row && m_row->version == *expected : !m_row;
+    if (!matches) return {ErrorCode::kConflict, 0};
+    m_row = RecordRow{.record = record, .version = ++m_version};
+    return {ErrorCode::kOk, m_version};
+  }
+
+  Choices& m_choices;
+  std::optional<RecordRow> m_row;
+  uint64_t m_version = 0;
+  std::vector<std::pair<Record, std::optional<uint64_t>>> m_late;
+};
+
+/// One submission at one entry, advanced one call at a time, so that others come in between.
+class Submission {
+ public:
+  Submission(std::string token, FaultyRow& row, Choices& choices)
+      : m_claim(MakeClaim(std::move(token)), kStart + 20s), m_row(row), m_choices(choices) {
+    m_action = ClaimAction(ReadRow{});
+  }
+
+  void Step(TimePoint now) {
+    if (m_done) return;
+    if (m_settlement) {
+      StepSettlement(now);
+    } else if (!m_started) {
+      m_started = true;
+      Take(m_claim.Handle(SlotHeld{}, now)[0], now);
+    } else if (const auto* write = std::get_if<WriteClaim>(&m_action)) {
+      const auto [code, version] = m_row.Write(write->record, write->expected_version);
+      Take(m_claim.Handle(ClaimWritten{code, version}, now)[0], now);
+    } else if (std::holds_alternative<ReadRow>(m_action)) {
+      Take(m_claim.Handle(m_row.Read(), now)[0], now);
+    } else {
+      reported_not_run = true;
+      if (std::get<RefuseRequest>(m_action).release) {
+        Settle(Outcome::kNotRun);
+      } else {
+        m_done = true;
+      }
+    }
+  }
+  void Kill() { m_done = true; }
+  bool done() const { return m_done; }
+
+  int runs = 0;
+  bool sent_late = false;
+  bool reported_not_run = false;
+
+ private:
+  // Sending follows the decision without a suspension in between.
+  void Take(ClaimAction action, TimePoint now) {
+    m_action = std::move(action);
+    if (std::holds_alternative<SendRequest>(m_action)) Send(now);
+  }
+  void Send(TimePoint now) {
+    sent_late = sent_late || now >= kStart + 20s;
+    switch (m_choices.Next(4)) {
+      case 1:  // Certainly not run: tried again under the same claim.
+        return Take(m_claim.Handle(SlotHeld{}, now)[0], now);
+      case 2:
+        reported_not_run = true;
+        return Settle(Outcome::kNotRun);
+      default:
+        ++runs;
+        return Settle(Outcome::kAnswered);
+    }
+  }
+  void Settle(Outcome outcome) {
+    m_settlement = std::make_unique<Settlement>(End(m_claim.record(), outcome), m_claim.version());
+    m_next = SettlementAction(RetryLater{});
+  }
+  void StepSettlement(TimePoint now) {
+    if (const auto* write = std::get_if<WriteRecord>(&m_next)) {
+      const auto [code, version] = m_row.Write(write->record, write->expected_version);
+      m_next = m_settlement->Handle(RecordWritten{code}, now)[0];
+    } else if (std::holds_alternative<ReadRow>(m_next)) {
+      m_next = m_settlement->Handle(m_row.Read(), now)[0];
+    } else if (std::holds_alternative<RetryLater>(m_next)) {
+      m_next = m_settlement->Handle(SettleNow{}, now)[0];
+    } else {
+      m_done = true;
+    }
+  }
+
+  Claim m_claim;
+  FaultyRow& m_row;
+  Choices& m_choices;
+  ClaimAction m_action;
+  bool m_started = false;
+  std::unique_ptr<Settlement> m_settlement;
+  SettlementAction m_next;
+  bool m_done = false;
+};
+
+/// Runs three submissions of one request in a generated order with generated faults.
+void RunLedgerCase(std::vector<int> values) {
+  Choices choices(std::move(values));
+  FaultyRow row(choices);
+  std::vector<std::unique_ptr<Submission>> submissions;
+  for (const char* token : {"a", "b", "c"}) {
+    submissions.push_back(std::make_unique<Submission>(token, row, choices));
+  }
+  TimePoint now = kStart;
+  bool killed = false;
+  const auto all_done = [&] {
+    return std::all_of(submissions.begin(), submissions.end(),
+                       [](const auto& submission) { return submission->done(); });
+  };
+  for (size_t steps = 0; !all_done(); ++steps) {
+    RC_ASSERT(steps < 20000u);
+    Submission& chosen = *submissions[choices.exhausted() ? steps % submissions.size()
+                                                          : static_cast<size_t>(choices.Next(3))];
+    const int event = choices.Next(40);
+    if (event == 1) {
+      chosen.Kill();
+      killed = true;
+    } else if (event == 2) {
+      now += 25s;  // A pause of all processes.
+    } else if (event == 3 || choices.exhausted()) {
+      row.ApplyLateWrites();
+    } else {
+      chosen.Step(now);
+    }
+    if (choices.exhausted()) chosen.Step(now);
+    now += 100ms;
+  }
+  int runs = 0;
+  for (const auto& submission : submissions) {
+    runs += submission->runs;
+    RC_ASSERT(!submission->sent_late);
+    RC_ASSERT(!(submission->reported_not_run && submission->runs > 0));
+  }
+  RC_ASSERT(runs <= 1);
+  // Without lost entries every claim is settled, so that the key is answered or can be used again.
+  if (!killed && row.row()) RC_ASSERT(row.row()->record.state == State::kEnded);
+  if (!killed && runs == 1) RC_ASSERT(row.row()->record.answer.outcome == Outcome::kAnswered);
+}
+
+// Guards against a second run of a non-idempotent request, sending after the deadline, untrue "not
+// run" and claims left behind, with lost and late writes, outages, pauses, entries that die at any
+// step and three submissions of one key that interleave freely.
+TEST(LedgerTest, RunsAtMostOnceWhateverFails) {
+  EXPECT_TRUE(rc::check([] {
+    RunLedgerCase(*rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 1 << 20)));
+  }));
+}
+
+}  // namespace
+}  // namespace citronferry::requests
+
+int main(int argc, char** argv) {
+  setenv("RC_PARAMS", "seed=20261204 max_success=20000", 1);
+  ::testing::InitGoogleTest(&argc, argv);
+  return RUN_ALL_TESTS();
+}
