Decide which durable jobs an entry tries, takes over or ends

decisions/jobs holds JobBoard: it follows the rows of the change feed and says which jobs this entry tries now, which claims have lapsed, and which jobs end without a run. Rendezvous ranking gives each entry a head start of 3 s over the next one, so that entries do not race for each job. A claim is judged by this entry's own reads: 30 s unchanged, and a gap of more than 5 s between reads (outage of the store, pause of this process) starts the observation again, since the holder could not renew.

A lapsed claim is run again for idempotent queues, up to max_attempts, and ends as "unknown" for the others. A queue that has not been declared for 10 minutes ends its jobs as failed; an earlier end was ruled out, because an entry may read the configuration late.

The answer type is that of decisions/requests, since a job and a request are answered in one form.

--- /dev/null
+++ b/src/decisions/jobs/tests/job_board_test.cc
@@ -0,0 +1,149 @@
+#include "decisions/jobs/job_board.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+namespace citronferry::jobs {
+namespace {
+
+constexpr TimePoint kStart{100s};
+
+JobRow MakeRow(std::string_view id, State state = State::kAccepted, std::string_view queue = "q",
+               uint64_t version = 1) {
+  JobRow row{.id = JobId(id), .version = version};
+  row.job.state = state;
+  row.job.queue = QueueName(queue);
+  return row;
+}
+
+JobBoard MakeBoard(std::string_view self, bool idempotent) {
+  JobBoard board{EntryId(self)};
+  board.Handle(RosterChanged{{EntryId("a"), EntryId("b"), EntryId("c")}}, kStart);
+  board.Handle(QueuesChanged{{{QueueName("q"), {.idempotent = idempotent, .max_attempts = 3}}}},
+               kStart);
+  return board;
+}
+
+/// Reads the change feed every second.
+/// @return the actions and when they were taken.
+std::vector<std::pair<Duration, Action>> Watch(JobBoard& board, std::vector<JobRow> rows,
+                                               Duration duration) {
+  std::vector<std::pair<Duration, Action>> taken;
+  for (Duration passed{}; passed < duration; passed += 1s) {
+    FeedRead read{.rows = std::exchange(rows, {})};
+    for (Action& action : board.Handle(read, kStart + passed)) {
+      taken.emplace_back(passed, std::move(action));
+    }
+  }
+  return taken;
+}
+
+// Guards against all entries racing for each job, which costs a conditional write for each entry,
+// and against a job that waits for good because the entry that ranks first is down.
+TEST(JobBoardTest, EntriesTryOneAfterTheOther) {
+  std::vector<Duration> first_tries;
+  for (const char* self : {"a", "b", "c"}) {
+    JobBoard board = MakeBoard(self, true);
+    const auto taken = Watch(board, {MakeRow("j")}, 20s);
+    ASSERT_EQ(taken.size(), 1u);
+    EXPECT_TRUE(std::holds_alternative<TryJob>(taken[0].second));
+    first_tries.push_back(taken[0].first);
+  }
+  std::sort(first_tries.begin(), first_tries.end());
+  EXPECT_EQ(first_tries, (std::vector<Duration>{0s, 3s, 6s}));
+}
+
+// Guards against a second run of a non-idempotent job, and against leaving it without an answer.
+TEST(JobBoardTest, LapsedClaimIsRunAgainOnlyWhenIdempotent) {
+  for (const bool idempotent : {true, false}) {
+    JobBoard board = MakeBoard("a", idempotent);
+    const auto taken = Watch(board, {MakeRow("j", State::kClaimed)}, 60s);
+    ASSERT_FALSE(taken.empty());
+    EXPECT_GE(taken[0].first, kLease);
+    if (idempotent) {
+      EXPECT_TRUE(std::holds_alternative<TryJob>(taken[0].second));
+    } else {
+      ASSERT_TRUE(std::holds_alternative<EndJob>(taken[0].second));
+      EXPECT_EQ(std::get<EndJob>(taken[0].second).answer.outcome, requests::Outcome::kUnknown);
+    }
+  }
+}
+
+// Guards against taking jobs over at once after an outage of the store or a pause of this process.
+TEST(JobBoardTest, GapBetweenReadsIsNotCountedAgainstTheHolder) {
+  JobBoard board = MakeBoard("a", false);
+  board.Handle(FeedRead{{MakeRow("j", State::kClaimed)}}, kStart);
+  EXPECT_TRUE(board.Handle(FeedRead{}, kStart + 100s).empty());
+}
+
+// Guards against jobs that wait for good for a queue that was removed, and against ending them
+// because one entry has not read the configuration yet.
+TEST(JobBoardTest, JobOfARemovedQueueFails) {
+  JobBoard unconfigured{EntryId("a")};
+  EXPECT_TRUE(Watch(unconfigured, {MakeRow("j")}, 20min).empty());
+  JobBoard board = MakeBoard("a", true);
+  const auto taken = Watch(board, {MakeRow("j", State::kAccepted, "removed")}, 11min);
+  ASSERT_FALSE(taken.empty());
+  EXPECT_GE(taken[0].first, 10min);
+  EXPECT_EQ(std::get<EndJob>(taken[0].second).answer.outcome, requests::Outcome::kFailed);
+}
+
+// Guards against more jobs in memory than an entry can hold, and against work that never resumes.
+TEST(JobBoardTest, TriesAreBounded) {
+  JobBoard board = MakeBoard("a", true);
+  std::vector<JobRow> rows;
+  for (int i = 0; i < 100; ++i) rows.push_back(MakeRow("j" + std::to_string(i)));
+  EXPECT_EQ(Watch(board, rows, 20s).size(), BoardOptions{}.max_tries);
+  board.Handle(TryEnded{JobId("j1")}, kStart + 20s);
+  FeedRead ended{{MakeRow("j2", State::kEnded, "q", 2)}};
+  board.Handle(ended, kStart + 21s);
+  EXPECT_EQ(board.open(), 99u);
+}
+
+// Guards against two boards that both end or claim a job: three boards that see the same rows with
+// random lags act on versions, and only one write for each version succeeds.
+TEST(JobBoardTest, EachVersionIsChangedOnce) {
+  EXPECT_TRUE(rc::check([] {
+    const bool idempotent = *rc::gen::arbitrary<bool>();
+    std::vector<JobBoard> boards;
+    for (const char* self : {"a", "b", "c"}) boards.push_back(MakeBoard(self, idempotent));
+    JobRow row = MakeRow("j");
+    int runs = 0;
+    int ends = 0;
+    for (int second = 0; second < 400; ++second) {
+      const TimePoint now = kStart + std::chrono::seconds(second);
+      const auto index = static_cast<size_t>(*rc::gen::inRange(0, 3));
+      for (const Action& action : boards[index].Handle(FeedRead{{row}}, now)) {
+        const auto* attempt = std::get_if<TryJob>(&action);
+        const uint64_t expected =
+            attempt ? attempt->row.version : std::get<EndJob>(action).row.version;
+        if (attempt) boards[index].Handle(TryEnded{row.id}, now);
+        if (expected != row.version) continue;
+        ++row.version;
+        if (!attempt) {
+          row.job.state = State::kEnded;
+          ++ends;
+          continue;
+        }
+        ++runs;
+        ++row.job.attempts;
+        // The holder dies during the run, or records an answer.
+        row.job.state = *rc::gen::inRange(0, 3) == 0 ? State::kEnded : State::kClaimed;
+        if (row.job.state == State::kEnded) ++ends;
+      }
+    }
+    RC_ASSERT(ends == 1);
+    RC_ASSERT(runs <= (idempotent ? 3 : 1));
+  }));
+}
+
+}  // namespace
+}  // namespace citronferry::jobs
+
+int main(int argc, char** argv) {
+  setenv("RC_PARAMS", "seed=20261204 max_success=300", 1);
+  ::testing::InitGoogleTest(&argc, argv);
+  return RUN_ALL_TESTS();
+}
