Run non-idempotent requests under claims, and durable jobs

Gateway: a non-idempotent request is sent only while its claim row is held (ClaimGate); outcomes and releases are written in the background (RequestLedger) and the caller does not wait for them. GET and DELETE /v1/requests/{key} answer from the ledger on every entry; a cancellation is a row in place of the claim. The request handler is split into checks, answers, ledger and job endpoints. WorkRunner is the interface through which requests and jobs reach the dispatcher; an AttemptGate decides, with a slot held, whether an attempt is sent.

Jobs: POST /v1/queues/{queue}/jobs writes the row before it answers 202; the identifier is derived from team and key. JobsService follows the change feed; JobRunner waits for a slot, claims, renews every 10 s and records the answer.

Faults found on the way: - A cancelled request whose start was still in the mailbox kept its slot for good, as did a running one, since the dispatcher ignores RequestCancelled for running requests. Such requests now end their attempt as not run before they leave. - "not run" was reported for an idempotent request whose retry expired in the queue although its first attempt may have run. It is now "unknown". - A renewal that took effect late moved the version, and the job's own answer was dropped.

--- /dev/null
+++ b/src/node/gateway/internal/dispatched_work.h
@@ -0,0 +1,30 @@
+#ifndef CITRONFERRY_NODE_GATEWAY_INTERNAL_DISPATCHED_WORK_H_
+#define CITRONFERRY_NODE_GATEWAY_INTERNAL_DISPATCHED_WORK_H_
+
+#include "node/gateway/internal/dispatch_service.h"
+#include "node/gateway/internal/executor_client.h"
+#include "node/gateway/work_runner.h"
+
+namespace citronferry::node {
+
+/// Runs work by following the actions of the dispatcher.
+class DispatchedWork : public WorkRunner {
+ public:
+  /// Makes itself reachable through the context for as long as it lives.
+  DispatchedWork(NodeContext& context, DispatchService& dispatch, ExecutorClient& executors);
+  ~DispatchedWork() override;
+
+  QCoro::Task<WorkResult> Run(Work work, AttemptGate& gate, StopSignal& cancel) override;
+
+ private:
+  QCoro::Task<AttemptResult> RunAttempt(Work work, InstanceId executor, StopSignal& cancel);
+  QCoro::Task<void> Withdraw(DispatchService::Ticket& ticket, dispatch::AttemptOutcome outcome);
+
+  NodeContext& m_context;
+  DispatchService& m_dispatch;
+  ExecutorClient& m_executors;
+};
+
+}  // namespace citronferry::node
+
+#endif  // CITRONFERRY_NODE_GATEWAY_INTERNAL_DISPATCHED_WORK_H_
--- a/src/node/gateway/internal/executor_client.cc
+++ b/src/node/gateway/internal/executor_client.cc
@@ -36,6 +36,11 @@
 }  // namespace
 
 QCoro::Task<AttemptResult> ExecutorClient::Execute(Attempt attempt) {
+  // The process may have been paused since the attempt was decided. The HTTP client counts whole
+  // milliseconds.
+  if (attempt.timeout < 1ms) {
+    co_return AttemptResult{.outcome = AttemptOutcome::kNotRun, .detail = "the deadline passed"};
+  }
   const FleetView& fleet = m_context.fleet.Get();
   const auto instance =
       std::find_if(fleet.instances.begin(), fleet.instances.end(),
--- a/src/node/gateway/internal/gateway_service.cc
+++ b/src/node/gateway/internal/gateway_service.cc
@@ -1,20 +1,25 @@
 #include "http/server.h"
 #include "node/gateway/gateway_module.h"
-#include "node/gateway/internal/dispatch_service.h"
-#include "node/gateway/internal/executor_client.h"
+#include "node/gateway/internal/dispatched_work.h"
 #include "node/gateway/internal/request_handler.h"
 #include "telemetry/log.h"
 
 namespace citronferry::node {
 namespace {
 
+// The outcome of a request that ended during the drain still has to be written.
+constexpr Duration kSettleTimeout = 2s;
+
 /// Owns the listener for callers and what answers them.
 class GatewayService : public Service {
  public:
   explicit GatewayService(NodeContext& context)
       : m_dispatch(context),
         m_executors(context),
-        m_handler(context, m_dispatch, m_executors),
+        m_work(context, m_dispatch, m_executors),
+        m_ledger(context, context.platform.tables(), context.platform.objects()),
+        m_jobs(context, JobStore(context.platform.tables(), context.platform.objects())),
+        m_handler(context, m_work, m_ledger, m_jobs),
         m_server(context.timers, MakeOptions(context.settings),
                  [this](http::Request request) { return m_handler.Handle(std::move(request)); }) {}
 
@@ -22,7 +27,9 @@
     Ret listening = m_server.Listen();
     if (!listening) co_return listening;
     Log(LogLevel::kInfo, "gateway_listening", {{"port", m_server.port()}});
-    co_return co_await m_server.Run();
+    Ret served = co_await m_server.Run();
+    co_await m_ledger.Finish(kSettleTimeout);
+    co_return served;
   }
   void Stop() override { m_server.Stop(); }
 
@@ -34,6 +41,9 @@
 
   DispatchService m_dispatch;
   ExecutorClient m_executors;
+  DispatchedWork m_work;
+  RequestLedger m_ledger;
+  JobEndpoints m_jobs;
   RequestHandler m_handler;
   http::Server m_server;
 };
--- /dev/null
+++ b/src/node/gateway/internal/request_check.h
@@ -0,0 +1,47 @@
+#ifndef CITRONFERRY_NODE_GATEWAY_INTERNAL_REQUEST_CHECK_H_
+#define CITRONFERRY_NODE_GATEWAY_INTERNAL_REQUEST_CHECK_H_
+
+#include <optional>
+#include <variant>
+
+#include "document/document.h"
+#include "http/message.h"
+#include "node/node_context.h"
+#include "telemetry/trace.h"
+
+namespace citronferry::node {
+
+/// An authenticated call of the caller API.
+struct Call {
+  http::Request request;
+  std::shared_ptr<const document::Document> document;
+  TeamName team;
+  std::string target;  ///< Queue, request key or job that the path names.
+  TraceContext trace;
+};
+
+/// A submission that has passed all checks.
+struct Submission {
+  document::Queue queue;
+  std::string key;
+  bool key_is_given = false;  ///< False when the entry has made up the key.
+  std::string fingerprint;    ///< Digest of queue and body.
+  std::string content_type;
+  TimePoint deadline;
+};
+
+using CheckResult = std::variant<Submission, http::Response>;
+
+/// What a submission becomes.
+enum class SubmissionKind { kRequest, kJob };
+
+/// Checks a submission to a queue.
+/// @return the submission, or the response that refuses it.
+CheckResult CheckSubmission(const Call& call, SubmissionKind kind, TimePoint now);
+
+/// @return true when a text is a valid request key: 1 to 128 letters, digits, '-', '_' or '.'.
+bool IsValidKey(std::string_view key);
+
+}  // namespace citronferry::node
+
+#endif  // CITRONFERRY_NODE_GATEWAY_INTERNAL_REQUEST_CHECK_H_
--- a/src/node/gateway/internal/request_handler.cc
+++ b/src/node/gateway/internal/request_handler.cc
@@ -1,80 +1,97 @@
 #include "node/gateway/internal/request_handler.h"
 
-#include <algorithm>
-#include <charconv>
+#include <array>
 
+#include "node/gateway/internal/answers.h"
 #include "node/gateway/internal/team_directory.h"
 #include "telemetry/log.h"
 
 namespace citronferry::node {
 namespace {
 
-constexpr char kOutcomeHeader[] = "Citronferry-Outcome";
 constexpr char kRequestIdHeader[] = "Citronferry-Request-Id";
-constexpr size_t kMaxKeyLength = 128;
 
-http::Response NotRun(int status, std::string_view code, std::string_view message,
-                      Duration retry_after = {}) {
-  http::Response response = http::MakeErrorResponse(status, code, message);
-  response.headers.push_back({kOutcomeHeader, "not-run"});
-  if (retry_after > Duration::zero()) {
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after).count();
-    response.headers.push_back({"Retry-After", std::to_string(seconds)});
-  }
-  return response;
-}
+/// Lets every attempt through.
+class OpenGate : public AttemptGate {
+ public:
+  QCoro::Task<bool> Open() override { co_return true; }
+};
 
-http::Response Answered(http::Response backend) {
-  http::Response response{.status = backend.status, .body = std::move(backend.body)};
-  const std::string_view type = http::FindHeader(backend.headers, "Content-Type");
-  if (!type.empty()) response.headers.push_back({"Content-Type", std::string(type)});
-  response.headers.push_back({kOutcomeHeader, "answered"});
-  return response;
-}
+}  // namespace
 
-http::Response WithOutcome(http::Response response, std::string_view outcome) {
-  response.headers.push_back({kOutcomeHeader, std::string(outcome)});
-  return response;
-}
+/// Notes that an attempt may be sent before it asks another gate.
+class RequestHandler::TrackedGate : public AttemptGate {
+ public:
+  TrackedGate(Active& active, AttemptGate& next) : m_active(active), m_next(next) {}
+  QCoro::Task<bool> Open() override {
+    m_active.started = true;
+    co_return co_await m_next.Open();
+  }
 
-/// @return the queue name of a path "/v1/queues/{queue}/requests", or an empty view.
-std::string_view QueueOfPath(std::string_view path) {
-  constexpr std::string_view kPrefix = "/v1/queues/";
-  constexpr std::string_view kSuffix = "/requests";
-  if (!path.starts_with(kPrefix) || !path.ends_with(kSuffix)) return {};
-  if (path.size() <= kPrefix.size() + kSuffix.size()) return {};
-  return path.substr(kPrefix.size(), path.size() - kPrefix.size() - kSuffix.size());
-}
+ private:
+  Active& m_active;
+  AttemptGate& m_next;
+};
 
-std::optional<int64_t> ParseInteger(std::string_view text) {
-  int64_t value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  return value;
-}
+struct RequestHandler::Route {
+  std::string_view method;
+  std::string_view prefix;
+  std::string_view suffix;
+  Endpoint endpoint;
+};
 
-bool IsValidKey(std::string_view key) {
-  return key.size() <= kMaxKeyLength && std::all_of(key.begin(), key.end(), [](unsigned char c) {
-           return std::isalnum(c) || c == '-' || c == '_' || c == '.';
-         });
+const RequestHandler::Route* RequestHandler::FindRoute(std::string_view method,
+                                                       std::string_view path, std::string& target,
+                                                       bool& path_is_known) {
+  static constexpr std::array<Route, 6> kRoutes{{
+      {"POST", "/v1/queues/", "/requests", &RequestHandler::SubmitRequest},
+      {"POST", "/v1/queues/", "/jobs", &RequestHandler::SubmitJob},
+      {"GET", "/v1/requests/", "", &RequestHandler::ShowRequest},
+      {"DELETE", "/v1/requests/", "", &RequestHandler::CancelRequest},
+      {"GET", "/v1/jobs/", "", &RequestHandler::ShowJob},
+      {"DELETE", "/v1/jobs/", "", &RequestHandler::CancelJob},
+  }};
+  for (const Route& route : kRoutes) {
+    if (!path.starts_with(route.prefix) || !path.ends_with(route.suffix)) continue;
+    if (path.size() <= route.prefix.size() + route.suffix.size()) continue;
+    const std::string_view middle =
+        path.substr(route.prefix.size(), path.size() - route.prefix.size() - route.suffix.size());
+    if (middle.find('/') != std::string_view::npos) continue;
+    path_is_known = true;
+    if (method != route.method) continue;
+    target = middle;
+    return &route;
+  }
+  return nullptr;
 }
 
-}  // namespace
-
 QCoro::Task<http::Response> RequestHandler::Handle(http::Request request) {
   Span span("entry.request", TraceContext::Parse(http::FindHeader(request.headers, "traceparent")));
-  Accepted accepted;
-  if (auto refusal = Check(request, accepted)) {
-    span.SetTag("outcome", "refused");
-    co_return *refusal;
-  }
-  accepted.request = std::move(request);
-  const std::string request_id = accepted.request_id;
-  span.SetTag("request", request_id);
-  http::Response response = co_await Run(std::move(accepted), span);
-  response.headers.push_back({kRequestIdHeader, request_id});
+  http::Response response;
+  Call call{.document = m_context.configuration.Get().document, .trace = span.context()};
+  bool path_is_known = false;
+  const Route* route = FindRoute(request.method, request.path, call.target, path_is_known);
+  const bool draining = m_context.lifecycle.Get() == Lifecycle::kDraining;
+  std::optional<TeamName> team;
+  if (call.document) {
+    team = AuthenticateTeam(*call.document, http::FindHeader(request.headers, "Authorization"));
+  }
+  if (!call.document || (draining && request.method == "POST")) {
+    response = NotRun(503, "not_ready", "this entry accepts no requests now", 1s);
+  } else if (!team) {
+    response = NotRun(401, "unauthenticated", "a known bearer token is required");
+  } else if (!route && path_is_known) {
+    response = NotRun(405, "method_not_allowed", "this resource has no such method");
+  } else if (!route) {
+    response = NotRun(404, "unknown_path", "no such resource");
+  } else {
+    call.team = *team;
+    call.request = std::move(request);
+    response = co_await (this->*route->endpoint)(std::move(call));
+  }
   const std::string outcome(http::FindHeader(response.headers, kOutcomeHeader));
   span.SetTag("outcome", outcome);
+  span.SetTag("request", http::FindHeader(response.headers, kRequestIdHeader));
   m_context.metrics
       .Counter("citronferry_requests_total", "Requests answered, by outcome.",
                {{"outcome", outcome}})
@@ -82,88 +99,250 @@
   co_return response;
 }
 
-std::optional<http::Response> RequestHandler::Check(const http::Request& request,
-                                                    Accepted& accepted) const {
-  const auto& document = m_context.configuration.Get().document;
-  if (!document || m_context.lifecycle.Get() == Lifecycle::kDraining) {
-    return NotRun(503, "not_ready", "this entry accepts no requests now", 1s);
-  }
-  const auto team = AuthenticateTeam(*document, http::FindHeader(request.headers, "Authorization"));
-  if (!team) return NotRun(401, "unauthenticated", "a known bearer token is required");
-  const std::string_view queue_name = QueueOfPath(request.path);
-  if (queue_name.empty()) return NotRun(404, "unknown_path", "no such resource");
-  if (request.method != "POST") return NotRun(405, "method_not_allowed", "use POST");
-  const auto queue = std::find_if(document->queues.begin(), document->queues.end(),
-                                  [&](const auto& q) { return q.name.view() == queue_name; });
-  if (queue == document->queues.end()) {
-    return NotRun(404, "unknown_queue", "no queue with this name is declared");
-  }
-  const std::string_view key = http::FindHeader(request.headers, "Idempotency-Key");
-  if (!IsValidKey(key)) {
-    return NotRun(400, "invalid_key",
-                  "Idempotency-Key must have at most 128 letters, digits, '-', '_' or '.'");
-  }
-  Duration time_left = queue->deadline;
-  const std::string_view deadline = http::FindHeader(request.headers, "Citronferry-Deadline-Ms");
-  if (!deadline.empty()) {
-    const auto milliseconds = ParseInteger(deadline);
-    if (!milliseconds || *milliseconds > ToMilliseconds(24h * 28)) {
-      return NotRun(400, "invalid_deadline", "Citronferry-Deadline-Ms must be an integer");
+QCoro::Task<http::Response> RequestHandler::SubmitRequest(Call call) {
+  CheckResult checked = CheckSubmission(call, SubmissionKind::kRequest, m_context.timers.Now());
+  if (auto* refusal = std::get_if<http::Response>(&checked)) co_return std::move(*refusal);
+  const Submission submission = std::get<Submission>(std::move(checked));
+  Work work{.queue = submission.queue.name,
+            .team = call.team,
+            .request_id = submission.key,
+            .content_type = submission.content_type,
+            .body = call.request.body,
+            .deadline = submission.deadline,
+            .idempotency = submission.queue.idempotent ? http::Idempotency::kIdempotent
+                                                       : http::Idempotency::kNonIdempotent,
+            .trace = call.trace};
+  Active active{.idempotent = submission.queue.idempotent};
+  const auto registered = m_active.emplace(LedgerKey(call.team, submission.key), &active);
+  Subscription abandoned;
+  if (call.request.abandoned) {
+    abandoned = call.request.abandoned->Subscribe([&active] { active.cancel.Request(); });
+  }
+  http::Response response;
+  if (submission.queue.idempotent) {
+    response = co_await RunIdempotent(std::move(work), submission, active);
+  } else {
+    response = co_await RunClaimed(std::move(work), submission, active);
+  }
+  m_active.erase(registered);
+  response.headers.push_back({kRequestIdHeader, submission.key});
+  co_return response;
+}
+
+QCoro::Task<http::Response> RequestHandler::RunIdempotent(Work work, Submission submission,
+                                                          Active& active) {
+  OpenGate open;
+  TrackedGate gate(active, open);
+  const WorkResult result = co_await m_work.Run(std::move(work), gate, active.cancel);
+  co_return RespondToWork(result, submission.key);
+}
+
+QCoro::Task<http::Response> RequestHandler::RunClaimed(Work work, Submission submission,
+                                                       Active& active) {
+  const std::string ledger_key = LedgerKey(work.team, submission.key);
+  if (submission.key_is_given) {
+    const auto read = co_await m_ledger.Read(ledger_key);
+    if (read.code == ErrorCode::kOk) {
+      const auto standing = m_ledger.Judge(ledger_key, read.row, submission.fingerprint);
+      if (standing != requests::Standing::kReusable) {
+        co_return co_await AnswerFromRow(submission.key, read.row, standing, 409);
+      }
+    } else if (read.code != ErrorCode::kNotFound) {
+      co_return NotRun(503, "store_unavailable",
+                       "this submission was not run: the request ledger can not be read. Repeat it "
+                       "with the same key, since an earlier submission may have run",
+                       1s);
+    }
+  }
+  const requests::Record claim = m_ledger.MakeClaim(submission.fingerprint, submission.deadline);
+  ClaimGate claim_gate(m_context, m_ledger, ledger_key, claim, submission.deadline);
+  TrackedGate gate(active, claim_gate);
+  const WorkResult result = co_await m_work.Run(std::move(work), gate, active.cancel);
+  if (result.end == WorkEnd::kWithdrawn) {
+    if (claim_gate.refusal().release) {
+      const requests::Answer released{.outcome = requests::Outcome::kNotRun,
+                                      .reason = "the request was not sent"};
+      m_ledger.Settle(ledger_key, claim, released, claim_gate.claim().version());
+    }
+    co_return co_await Refuse(ledger_key, submission, claim_gate.refusal());
+  }
+  co_return Conclude(ledger_key, submission, claim_gate, result);
+}
+
+http::Response RequestHandler::Conclude(const std::string& ledger_key, const Submission& submission,
+                                        const ClaimGate& gate, const WorkResult& result) {
+  // Without a claim the request never left the queue, and there is nothing to record.
+  if (gate.claim().held()) {
+    m_ledger.Settle(ledger_key, gate.claim().record(), MakeAnswer(result), gate.claim().version());
+  }
+  return RespondToWork(result, submission.key);
+}
+
+QCoro::Task<http::Response> RequestHandler::Refuse(std::string ledger_key, Submission submission,
+                                                   requests::RefuseRequest refusal) {
+  switch (refusal.reason) {
+    case requests::RefusalReason::kStoreUnavailable:
+      co_return NotRun(503, "store_unavailable",
+                       "the request could not be claimed and was not sent", 1s);
+    case requests::RefusalReason::kDeadlinePassed:
+      co_return NotRun(503, "deadline_passed", "the deadline passed before the request was sent");
+    case requests::RefusalReason::kDuplicateUnread:
+      co_return Unknown("another submission has this key", RequestLocation(submission.key));
+    case requests::RefusalReason::kDuplicate:
+      break;
+  }
+  const auto standing = m_ledger.Judge(ledger_key, refusal.existing, submission.fingerprint);
+  co_return co_await AnswerFromRow(submission.key, refusal.existing, standing, 409);
+}
+
+QCoro::Task<http::Response> RequestHandler::AnswerFromRow(std::string request_key,
+                                                          requests::RecordRow row,
+                                                          requests::Standing standing,
+                                                          int in_progress_status) {
+  const std::string location = RequestLocation(request_key);
+  switch (standing) {
+    case requests::Standing::kInProgress:
+      co_return InProgress(in_progress_status, location);
+    case requests::Standing::kUnknown:
+      co_return Unknown("the entry that claimed the request gave no outcome", location);
+    case requests::Standing::kMismatch:
+      co_return NotRun(422, "key_reused",
+                       "the Idempotency-Key belongs to a request with another body or queue");
+    case requests::Standing::kReusable:
+    case requests::Standing::kRecorded:
+      break;
+  }
+  const auto answer = co_await m_ledger.LoadAnswer(row.record.answer);
+  if (!answer.ok()) co_return StoreUnavailable("the recorded answer can not be read now");
+  http::Response response = MakeResponse(answer.value());
+  if (answer->outcome == requests::Outcome::kUnknown) {
+    response.headers.push_back({"Location", location});
+  }
+  co_return response;
+}
+
+http::Response RequestHandler::RespondToWork(const WorkResult& result,
+                                             std::string_view request_key) const {
+  switch (result.end) {
+    case WorkEnd::kCancelled:
+    case WorkEnd::kWithdrawn:
+      return NotRun(409, "cancelled", "the request was cancelled before it was sent");
+    case WorkEnd::kNotRun:
+      return NotRun(503, "not_run", result.reason, result.retry_after);
+    case WorkEnd::kUnknown:
+      return Unknown(result.reason, RequestLocation(request_key));
+    case WorkEnd::kAnswered:
+    case WorkEnd::kFailed:
+      break;
+  }
+  return MakeResponse(MakeAnswer(result));
+}
+
+QCoro::Task<http::Response> RequestHandler::ShowRequest(Call call) {
+  if (!IsValidKey(call.target)) {
+    co_return http::MakeErrorResponse(400, "invalid_key", "not a valid request key");
+  }
+  const std::string ledger_key = LedgerKey(call.team, call.target);
+  const auto read = co_await m_ledger.Read(ledger_key);
+  http::Response response;
+  if (read.code == ErrorCode::kOk) {
+    const auto standing = m_ledger.Judge(ledger_key, read.row, {});
+    response = co_await AnswerFromRow(call.target, read.row, standing, 202);
+  } else if (FindActive(ledger_key)) {
+    response = InProgress(202, RequestLocation(call.target));
+  } else if (read.code == ErrorCode::kNotFound) {
+    response = http::MakeErrorResponse(404, "unknown_key",
+                                       "no claim of a request with this key is recorded");
+  } else {
+    response = StoreUnavailable("the request ledger can not be read now");
+  }
+  response.headers.push_back({kRequestIdHeader, call.target});
+  co_return response;
+}
+
+QCoro::Task<http::Response> RequestHandler::CancelRequest(Call call) {
+  if (!IsValidKey(call.target)) {
+    co_return http::MakeErrorResponse(400, "invalid_key", "not a valid request key");
+  }
+  const std::string ledger_key = LedgerKey(call.team, call.target);
+  Active* active = FindActive(ledger_key);
+  if (active && active->idempotent) {
+    // Idempotent requests are not in the ledger, so only this entry can tell.
+    const bool started = active->started;
+    active->cancel.Request();
+    if (started) co_return InProgress(409, RequestLocation(call.target));
+    co_return Cancelled("the request was cancelled before it ran");
+  }
+  http::Response response = co_await RecordCancellation(ledger_key, call.target);
+  if (response.status == 200) {
+    // The entry may have ended the request during the write.
+    active = FindActive(ledger_key);
+    if (active) active->cancel.Request();
+  }
+  co_return response;
+}
+
+QCoro::Task<http::Response> RequestHandler::RecordCancellation(std::string ledger_key,
+                                                               std::string request_key) {
+  // A row in place of a claim makes the claim fail on every entry.
+  requests::Record record{.state = requests::State::kEnded,
+                          .token = RandomToken(),
+                          .answer = {.outcome = requests::Outcome::kCancelled,
+                                     .reason = "cancelled before it was sent"}};
+  const std::string location = RequestLocation(request_key);
+  std::optional<uint64_t> version;
+  constexpr int kMaxWrites = 3;
+  for (int writes = 0; writes < kMaxWrites; ++writes) {
+    const auto written = co_await m_ledger.Write(ledger_key, record, version);
+    if (written.code == ErrorCode::kOk) {
+      co_return Cancelled("a non-idempotent request with this key will not run");
     }
-    if (*milliseconds <= 0) return NotRun(408, "deadline_passed", "the deadline has passed");
-    time_left = std::chrono::milliseconds(*milliseconds);
-  }
-  accepted.queue = *queue;
-  accepted.team = *team;
-  accepted.request_id = key.empty() ? RandomToken() + RandomToken() : std::string(key);
-  accepted.deadline = m_context.timers.Now() + time_left;
-  return std::nullopt;
-}
-
-QCoro::Task<http::Response> RequestHandler::Run(Accepted accepted, Span& span) {
-  const auto ticket = m_dispatch.Submit(accepted.queue.name, accepted.team, accepted.deadline);
-  Subscription abandoned = accepted.request.abandoned->Subscribe([&ticket] { ticket->Cancel(); });
-  AttemptResult last;
-  while (const auto action = co_await ticket->Next()) {
-    if (const auto* start = std::get_if<dispatch::StartAttempt>(&*action)) {
-      last = co_await RunAttempt(accepted, *start, span.context());
-      ticket->EndAttempt(last.outcome);
+    if (written.code == ErrorCode::kUnavailable) break;
+    const auto read = co_await m_ledger.Read(ledger_key);
+    if (read.code == ErrorCode::kNotFound) {
+      version.reset();
       continue;
     }
-    const auto& end = std::get<dispatch::EndRequest>(*action);
-    switch (end.verdict) {
-      case dispatch::Verdict::kAnswered:
-        co_return Answered(std::move(last.response));
-      case dispatch::Verdict::kNotRun:
-        co_return NotRun(503, "not_run", end.reason, end.retry_after);
-      case dispatch::Verdict::kFailed:
-        co_return WithOutcome(http::MakeErrorResponse(422, "failed", end.reason), "failed");
-      case dispatch::Verdict::kUnknown:
-        co_return WithOutcome(http::MakeErrorResponse(504, "unknown", end.reason), "unknown");
+    if (read.code != ErrorCode::kOk) break;
+    const requests::Record& found = read.row.record;
+    if (found.state == requests::State::kEnded &&
+        found.answer.outcome == requests::Outcome::kCancelled) {
+      co_return Cancelled("a non-idempotent request with this key will not run");
     }
+    const auto standing = m_ledger.Judge(ledger_key, read.row, {});
+    if (standing == requests::Standing::kReusable) {
+      version = read.row.version;
+      continue;
+    }
+    if (standing == requests::Standing::kInProgress) co_return InProgress(409, location);
+    if (standing == requests::Standing::kUnknown) {
+      co_return Unknown("the entry that claimed the request gave no outcome", location);
+    }
+    http::Response ended =
+        http::MakeErrorResponse(409, "already_ended", "the request has ended and may have run");
+    const http::Response answer = MakeResponse(found.answer);
+    ended.headers.push_back(
+        {kOutcomeHeader, std::string(http::FindHeader(answer.headers, kOutcomeHeader))});
+    co_return ended;
   }
-  co_return NotRun(499, "cancelled", "the caller has gone");
-}
-
-QCoro::Task<AttemptResult> RequestHandler::RunAttempt(const Accepted& accepted,
-                                                      const dispatch::StartAttempt& start,
-                                                      const TraceContext& parent) {
-  Span span("executor.attempt", parent);
-  span.SetTag("executor", start.executor.view());
-  Attempt attempt;
-  attempt.executor = start.executor;
-  attempt.queue = accepted.queue.name.str();
-  attempt.request_id = accepted.request_id;
-  attempt.content_type = http::FindHeader(accepted.request.headers, "Content-Type");
-  if (attempt.content_type.empty()) attempt.content_type = "application/octet-stream";
-  attempt.body = accepted.request.body;
-  attempt.timeout = accepted.deadline - m_context.timers.Now();
-  attempt.idempotency = accepted.queue.idempotent ? http::Idempotency::kIdempotent
-                                                  : http::Idempotency::kNonIdempotent;
-  attempt.trace = span.context();
-  AttemptResult result = co_await m_executors.Execute(std::move(attempt));
-  if (!result.detail.empty()) span.SetTag("detail", result.detail);
-  co_return result;
+  co_return StoreUnavailable("it is not known whether the cancellation was recorded");
+}
+
+QCoro::Task<http::Response> RequestHandler::SubmitJob(Call call) {
+  co_return co_await m_jobs.Submit(std::move(call));
+}
+
+QCoro::Task<http::Response> RequestHandler::ShowJob(Call call) {
+  co_return co_await m_jobs.Show(std::move(call));
+}
+
+QCoro::Task<http::Response> RequestHandler::CancelJob(Call call) {
+  co_return co_await m_jobs.Cancel(std::move(call));
+}
+
+RequestHandler::Active* RequestHandler::FindActive(const std::string& ledger_key) {
+  const auto found = m_active.find(ledger_key);
+  return found == m_active.end() ? nullptr : found->second;
 }
 
 }  // namespace citronferry::node
--- /dev/null
+++ b/src/node/gateway/tests/gateway_test.cc
@@ -0,0 +1,342 @@
+#include <gtest/gtest.h>
+
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include "node/gateway/internal/dispatched_work.h"
+#include "node/gateway/internal/request_handler.h"
+#include "node/gateway/tests/faulty_platform.h"
+#include "standins/backend/backend_standin.h"
+#include "supervision/testing/event_loop.h"
+
+namespace citronferry::node {
+namespace {
+
+using citronferry::testing::Fault;
+using citronferry::testing::FaultyPlatform;
+using citronferry::testing::SharedTables;
+
+constexpr char kToken[] = "secret";
+
+/// Passes requests to the backend stand-in and closes some connections instead of answering.
+class DroppingBackend {
+ public:
+  explicit DroppingBackend(TimerService& timers) : m_backend(timers) {
+    m_server.listen(QHostAddress::LocalHost);
+    QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] {
+      QTcpSocket* socket = m_server.nextPendingConnection();
+      auto received = std::make_shared<QByteArray>();
+      QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+      QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket, received] {
+        *received += socket->readAll();
+        const qsizetype end = received->indexOf("\r\n\r\n");
+        if (end < 0 || std::exchange(m_seen[socket], true)) return;
+        QPointer<QTcpSocket> peer(socket);
+        tasks.Spawn(
+            [this, peer, text = *received]() -> QCoro::Task<void> { return Serve(peer, text); });
+      });
+      QObject::connect(socket, &QObject::destroyed, &m_server,
+                       [this, socket] { m_seen.erase(socket); });
+    });
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(m_server.serverPort()); }
+
+  TaskScope tasks;
+  int drop_every = 0;               ///< Drops every n-th answer; 0 drops none.
+  OneShot<int>* hold = nullptr;     ///< Delays the answer after the run.
+  std::map<std::string, int> runs;  ///< By request identifier.
+
+ private:
+  QCoro::Task<void> Serve(QPointer<QTcpSocket> socket, QByteArray text) {
+    http::Request request{.method = "POST", .path = "/execute/bill"};
+    for (const QByteArray& line : text.split('\n')) {
+      const qsizetype colon = line.indexOf(':');
+      if (colon < 0) continue;
+      request.headers.push_back(
+          {line.left(colon).toStdString(), line.mid(colon + 1).trimmed().toStdString()});
+    }
+    ++runs[std::string(http::FindHeader(request.headers, "Citronferry-Request-Id"))];
+    const http::Response response = co_await m_backend.Handle(std::move(request));
+    if (hold) co_await hold->Wait();
+    if (!socket) co_return;
+    if (drop_every > 0 && ++m_answers % drop_every == 0) {
+      socket->abort();
+      co_return;
+    }
+    socket->write("HTTP/1.1 " + QByteArray::number(response.status) +
+                  " X\r\nConnection: close\r\nContent-Length: " +
+                  QByteArray::number(response.body.size()) + "\r\n\r\n" + response.body);
+    socket->disconnectFromHost();
+  }
+
+  QTcpServer m_server;
+  std::map<QTcpSocket*, bool> m_seen;
+  standin::BackendStandin m_backend;
+  int m_answers = 0;
+};
+
+class GatewayTest : public ::testing::Test {
+ protected:
+  GatewayTest() {
+    document::Document document;
+    document.services.push_back({.name = ServiceName("s"), .pool = PoolName("p")});
+    document.pools.push_back({.name = PoolName("p"), .instances = {InstanceId("i1")}});
+    document.queues.push_back({.name = QueueName("bill"), .service = ServiceName("s")});
+    document.queues.push_back(
+        {.name = QueueName("page"), .service = ServiceName("s"), .idempotent = true});
+    document.queues.push_back(
+        {.name = QueueName("watch"), .service = ServiceName("s"), .durable = true});
+    document.teams.push_back({.name = TeamName("t"), .token_sha256 = Sha256Hex(kToken)});
+    m_backend = std::make_unique<DroppingBackend>(*m_timers);
+    RosterView roster;
+    roster.entries.push_back({.id = EntryId("e1"), .incarnation = "first"});
+    m_context->roster.Set(roster);
+    ActiveConfiguration configuration{.version = 1};
+    configuration.document = std::make_shared<document::Document>(document);
+    m_context->configuration.Set(configuration);
+    SetInstances(true);
+    m_dispatch = std::make_unique<DispatchService>(*m_context);
+    m_work = std::make_unique<DispatchedWork>(*m_context, *m_dispatch, m_executors);
+    m_handler = std::make_unique<RequestHandler>(*m_context, *m_work, m_ledger, m_jobs);
+  }
+  ~GatewayTest() override {
+    EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
+    m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_ledger.Finish(100ms); });
+    EXPECT_TRUE(ProcessEventsUntil(
+        [&] { return m_tasks.running() == 0 && m_backend->tasks.running() == 0; }));
+  }
+
+  void SetInstances(bool present) {
+    FleetView fleet;
+    if (present) {
+      fleet.instances.push_back({.id = InstanceId("i1"), .address = m_backend->address()});
+    }
+    m_context->fleet.Set(fleet);
+  }
+  /// @return the place where the response will be.
+  std::shared_ptr<std::optional<http::Response>> Start(http::Request request) {
+    auto result = std::make_shared<std::optional<http::Response>>();
+    request.headers.push_back({"Authorization", std::string("Bearer ") + kToken});
+    m_tasks.Spawn([this, request, result]() -> QCoro::Task<void> {
+      *result = co_await m_handler->Handle(request);
+    });
+    return result;
+  }
+  http::Response Call(http::Request request) {
+    const auto result = Start(std::move(request));
+    EXPECT_TRUE(ProcessEventsUntil([&] { return result->has_value(); }));
+    return result->value_or(http::Response{});
+  }
+  static http::Request Post(std::string_view key, std::string_view queue = "bill",
+                            QByteArray body = "b") {
+    http::Request request{.method = "POST",
+                          .path = "/v1/queues/" + std::string(queue) + "/requests",
+                          .body = std::move(body)};
+    if (!key.empty()) request.headers.push_back({"Idempotency-Key", std::string(key)});
+    return request;
+  }
+  http::Response Show(const std::string& key) {
+    return Call({.method = "GET", .path = "/v1/requests/" + key});
+  }
+  static std::string Outcome(const http::Response& response) {
+    return std::string(http::FindHeader(response.headers, "Citronferry-Outcome"));
+  }
+  int TotalRuns() const {
+    int total = 0;
+    for (const auto& [id, runs] : m_backend->runs) total += runs;
+    return total;
+  }
+
+  QCoreApplication& m_application = TestApplication();
+  std::unique_ptr<TimerService> m_timers = MakeQtTimerService();
+  document::Settings m_settings{.id = EntryId("e1")};
+  Metrics m_metrics;
+  platform::PlatformModule m_unused{{.url = "http://127.0.0.1:1"}};
+  std::unique_ptr<NodeContext> m_context{new NodeContext{.settings = m_settings,
+                                                         .timers = *m_timers,
+                                                         .metrics = m_metrics,
+                                                         .platform = m_unused,
+                                                         .incarnation = "first"}};
+  std::unique_ptr<DroppingBackend> m_backend;
+  SharedTables m_shared;
+  FaultyPlatform m_platform{m_shared, *m_timers};
+  ExecutorClient m_executors{*m_context};
+  std::unique_ptr<DispatchService> m_dispatch;
+  std::unique_ptr<DispatchedWork> m_work;
+  RequestLedger m_ledger{*m_context, m_platform, m_platform};
+  JobEndpoints m_jobs{*m_context, JobStore(m_platform, m_platform)};
+  std::unique_ptr<RequestHandler> m_handler;
+  TaskScope m_tasks;
+};
+
+// Guards against second runs and untrue answers when a backend server closes connections before it
+// answers, and the callers repeat their requests.
+TEST_F(GatewayTest, ThousandRequestsRunOnceWhenTheBackendDropsConnections) {
+  constexpr int kRequests = 1000;
+  constexpr int kBatch = 100;
+  m_backend->drop_every = 2;
+  int answered = 0;
+  int unknown = 0;
+  for (int first = 0; first < kRequests; first += kBatch) {
+    std::vector<std::shared_ptr<std::optional<http::Response>>> results;
+    for (int i = first; i < first + kBatch; ++i) {
+      results.push_back(Start(Post("k" + std::to_string(i))));
+      results.push_back(Start(Post("k" + std::to_string(i))));
+    }
+    ASSERT_TRUE(ProcessEventsUntil([&] {
+      return std::all_of(results.begin(), results.end(), [](const auto& r) { return *r; });
+    }));
+    for (size_t i = 0; i < results.size(); i += 2) {
+      const std::string both = Outcome(**results[i]) + "," + Outcome(**results[i + 1]);
+      EXPECT_EQ(both.find("not-run"), std::string::npos) << both;
+    }
+  }
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string outcome = Outcome(Show("k" + std::to_string(i)));
+    answered += outcome == "answered" ? 1 : 0;
+    unknown += outcome == "unknown" ? 1 : 0;
+  }
+  EXPECT_EQ(m_backend->runs.size(), static_cast<size_t>(kRequests));
+  EXPECT_EQ(TotalRuns(), kRequests);
+  EXPECT_EQ(answered, kRequests / 2);
+  EXPECT_EQ(unknown, kRequests / 2);
+  EXPECT_EQ(m_shared.rewritten_ends, 0);
+}
+
+// Guards against running a repeated request again, and against answering it for another body.
+TEST_F(GatewayTest, RepeatedKeyGetsTheRecordedAnswer) {
+  const http::Response first = Call(Post("a", "bill", QByteArray(100000, 'x')));
+  EXPECT_EQ(Outcome(first), "answered");
+  const http::Response second = Call(Post("a", "bill", QByteArray(100000, 'x')));
+  EXPECT_EQ(second.body, first.body);
+  EXPECT_EQ(Outcome(second), "answered");
+  EXPECT_EQ(Call(Post("a", "bill", "other")).status, 422);
+  EXPECT_EQ(TotalRuns(), 1);
+  EXPECT_EQ(m_shared.sequence, 2u) << "a request costs two writes";
+}
+
+// Guards against running what could not be claimed, and against a key that stays blocked after the
+// store is back. The answer "not run" has to be true, however the claim's write was lost.
+TEST_F(GatewayTest, UnclaimedRequestIsNotRunAndItsKeyCanBeUsedAgain) {
+  for (const Fault fault :
+       {Fault::kUnavailable, Fault::kAnswerLost, Fault::kRequestLost, Fault::kEffectDelayed}) {
+    const std::string key = "f" + std::to_string(static_cast<int>(fault));
+    int operations = 0;
+    // The first read and the write are reached; nothing after them.
+    m_platform.fault = [&operations, fault](bool) {
+      ++operations;
+      return operations == 1 ? Fault::kNone : operations == 2 ? fault : Fault::kUnavailable;
+    };
+    const http::Response refused = Call(Post(key));
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(Outcome(refused), "not-run");
+    EXPECT_EQ(m_backend->runs.count(key), 0u);
+    m_platform.fault = [](bool) { return Fault::kNone; };
+    EXPECT_TRUE(ProcessEventsUntil([&] { return Outcome(Call(Post(key))) == "answered"; }));
+    EXPECT_EQ(m_backend->runs[key], 1);
+  }
+}
+
+// Guards against losing the outcome of a request whose caller has gone, and against running what
+// still waits for such a caller.
+TEST_F(GatewayTest, CallerThatDisconnects) {
+  OneShot<int> release;
+  m_backend->hold = &release;
+  http::Request running = Post("running");
+  running.abandoned = std::make_shared<StopSignal>();
+  const auto result = Start(running);
+  ASSERT_TRUE(ProcessEventsUntil([&] { return m_backend->runs.count("running") == 1; }));
+  EXPECT_EQ(Show("running").status, 202);
+  running.abandoned->Request();
+  release.Set(0);
+  ASSERT_TRUE(ProcessEventsUntil([&] { return result->has_value(); }));
+  EXPECT_EQ(Outcome(Show("running")), "answered");
+
+  SetInstances(false);
+  http::Request waiting = Post("waiting");
+  waiting.abandoned = std::make_shared<StopSignal>();
+  const auto cancelled = Start(waiting);
+  waiting.abandoned->Request();
+  ASSERT_TRUE(ProcessEventsUntil([&] { return cancelled->has_value(); }));
+  EXPECT_EQ(Outcome(**cancelled), "not-run");
+  EXPECT_EQ(Show("waiting").status, 404);
+}
+
+// Guards against untrue answers to a cancellation, and against running a cancelled request.
+TEST_F(GatewayTest, CancellationSaysWhetherTheRequestRan) {
+  SetInstances(false);
+  const auto waiting = Start(Post("w"));
+  EXPECT_EQ(Call({.method = "DELETE", .path = "/v1/requests/w"}).status, 200);
+  ASSERT_TRUE(ProcessEventsUntil([&] { return waiting->has_value(); }));
+  EXPECT_EQ(Outcome(**waiting), "not-run");
+  SetInstances(true);
+  EXPECT_EQ(Outcome(Call(Post("w"))), "not-run");
+  EXPECT_EQ(TotalRuns(), 0);
+  ASSERT_EQ(Outcome(Call(Post("done"))), "answered");
+  const http::Response late = Call({.method = "DELETE", .path = "/v1/requests/done"});
+  EXPECT_EQ(late.status, 409);
+  EXPECT_EQ(Outcome(late), "answered");
+}
+
+// Guards against reporting a claim of a lost entry as running for good.
+TEST_F(GatewayTest, ClaimOfALostEntryIsUnknown) {
+  requests::Record claim = m_ledger.MakeClaim(Sha256Hex("bill\nb"), m_timers->Now() + 60s);
+  claim.holder.incarnation = "an earlier one";
+  m_tasks.Spawn([this, claim]() -> QCoro::Task<void> {
+    static_cast<void>(co_await m_ledger.Write("t.lost", claim, std::nullopt));
+  });
+  const http::Response response = Call(Post("lost"));
+  EXPECT_EQ(Outcome(response), "unknown");
+  EXPECT_EQ(http::FindHeader(response.headers, "Location"), "/v1/requests/lost");
+  EXPECT_EQ(TotalRuns(), 0);
+}
+
+// Guards against unclear refusals, and against running a request that is not valid.
+TEST_F(GatewayTest, BadInputIsRefusedAsNotRun) {
+  http::Request late = Post("late");
+  late.headers.push_back({"Citronferry-Deadline-Ms", "0"});
+  http::Request odd = Post("odd");
+  odd.headers.push_back({"Citronferry-Deadline-Ms", "soon"});
+  http::Request job = Post("job", "bill");
+  job.path = "/v1/queues/bill/jobs";
+  const std::vector<std::pair<http::Request, int>> cases{
+      {late, 408},
+      {odd, 400},
+      {job, 409},
+      {Post("x", "watch"), 409},
+      {Post("x", "nowhere"), 404},
+      {Post("a b"), 400},
+      {Post(std::string(129, 'k')), 400},
+      {{.method = "PUT", .path = "/v1/queues/bill/requests"}, 405},
+      {{.method = "POST", .path = "/v1/queues/bill/other"}, 404}};
+  for (const auto& [request, status] : cases) {
+    const http::Response response = Call(request);
+    EXPECT_EQ(response.status, status) << request.path;
+    EXPECT_EQ(Outcome(response), "not-run") << request.path;
+  }
+  EXPECT_EQ(TotalRuns(), 0);
+  EXPECT_TRUE(m_shared.rows.empty());
+}
+
+// Guards against a repeated job request that makes a second job, and against showing jobs of
+// others.
+TEST_F(GatewayTest, JobIsAcceptedOnceShownAndCancelled) {
+  http::Request post = Post("j", "watch");
+  post.path = "/v1/queues/watch/jobs";
+  const http::Response accepted = Call(post);
+  EXPECT_EQ(accepted.status, 202);
+  const std::string location(http::FindHeader(accepted.headers, "Location"));
+  EXPECT_EQ(http::FindHeader(Call(post).headers, "Location"), location);
+  EXPECT_EQ(m_shared.rows.size(), 1u);
+  EXPECT_EQ(Call({.method = "GET", .path = location}).status, 202);
+  EXPECT_EQ(Call({.method = "DELETE", .path = location}).status, 200);
+  EXPECT_EQ(Outcome(Call({.method = "GET", .path = location})), "not-run");
+  EXPECT_EQ(Call({.method = "GET", .path = "/v1/jobs/none"}).status, 404);
+  m_platform.fault = [](bool) { return Fault::kUnavailable; };
+  post.headers[0].value = "k";
+  EXPECT_EQ(Outcome(Call(post)), "not-run");
+}
+
+}  // namespace
+}  // namespace citronferry::node
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -8,6 +8,7 @@
 #include "node/fleet/fleet_module.h"
 #include "node/gateway/gateway_module.h"
 #include "node/internal/termination.h"
+#include "node/jobs/jobs_module.h"
 #include "node/membership/membership_module.h"
 #include "node/node_context.h"
 #include "supervision/task_scope.h"
@@ -33,6 +34,7 @@
   children.push_back(FleetModule::MakeChild(context));
   children.push_back(MembershipModule::MakeChild(context));
   children.push_back(GatewayModule::MakeChild(context));
+  children.push_back(JobsModule::MakeChild(context));
   children.push_back(AdminModule::MakeChild(context));
   return Supervisor(
       context.timers,
--- /dev/null
+++ b/src/node/jobs/jobs_module.h
@@ -0,0 +1,16 @@
+#ifndef CITRONFERRY_NODE_JOBS_JOBS_MODULE_H_
+#define CITRONFERRY_NODE_JOBS_JOBS_MODULE_H_
+
+#include "node/node_context.h"
+#include "supervision/supervisor.h"
+
+namespace citronferry::node {
+
+/// Runs durable jobs.
+struct JobsModule {
+  static ChildSpec MakeChild(NodeContext& context);
+};
+
+}  // namespace citronferry::node
+
+#endif  // CITRONFERRY_NODE_JOBS_JOBS_MODULE_H_
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -18,6 +18,8 @@
 
 namespace citronferry::node {
 
+class WorkRunner;
+
 /// The configuration in force on this entry.
 struct ActiveConfiguration {
   uint64_t version = 0;  ///< 0 until the first configuration is adopted.
@@ -83,6 +85,7 @@
   Observable<SlotAdjustments> slot_adjustments;   ///< Set by membership.
   Observable<Lifecycle> lifecycle;                ///< Set by the node and the drain command.
   std::function<GatewayLoad()> read_load;         ///< Set by the gateway while it runs.
+  WorkRunner* work = nullptr;                     ///< Set by the gateway while it runs.
 };
 
 /// @return 16 random hexadecimal digits.
