--- a/src/node/gateway/internal/dispatched_work.cc
+++ b/src/node/gateway/internal/dispatched_work.cc
@@ -11,6 +11,11 @@
   return outcome == AttemptOutcome::kUnknown || outcome == AttemptOutcome::kFailed;
 }
 
+bool MayBeRepeated(http::Idempotency idempotency, AttemptOutcome outcome) {
+  if (idempotency == http::Idempotency::kNonIdempotent) return outcome == AttemptOutcome::kNotRun;
+  return outcome != AttemptOutcome::kAnswered;
+}
+
 WorkResult EndWork(WorkEnd end, std::string reason, bool may_have_run) {
   // An earlier attempt of idempotent work may have run although the last one certainly did not.
   const bool claims_not_run =
@@ -26,6 +31,12 @@
   return kEnds[static_cast<size_t>(verdict)];
 }
 
+// The slot is given back, the request is not tried again, and the executor is not judged by it.
+void Withdraw(DispatchService::Ticket& ticket, AttemptOutcome outcome) {
+  ticket.Cancel();
+  ticket.EndAttempt(outcome);
+}
+
 }  // namespace
 
 DispatchedWork::DispatchedWork(NodeContext& context, DispatchService& dispatch,
@@ -40,8 +51,7 @@
   const auto ticket = m_dispatch.Submit(work.queue, work.team, work.deadline);
   bool running = false;
   bool may_have_run = false;
-  // Cancelling a request that has a slot would leave the slot in use. So a request that runs, or
-  // whose start is still in the mailbox, is withdrawn by the loop below.
+  // A request that has a slot, or whose start is still in the mailbox, gives the slot back below.
   const Subscription cancelled = cancel.Subscribe([&] {
     if (!running && !ticket->Next().await_ready()) ticket->Cancel();
   });
@@ -58,15 +68,15 @@
     running = true;
     const bool open = co_await gate.Open();
     if (!open || cancel.requested()) {
-      co_await Withdraw(*ticket, AttemptOutcome::kNotRun);
+      Withdraw(*ticket, AttemptOutcome::kWithdrawn);
       const WorkEnd end = open ? WorkEnd::kCancelled : WorkEnd::kWithdrawn;
       co_return EndWork(end, "withdrawn before it was sent", may_have_run);
     }
     last = co_await RunAttempt(work, start->executor, cancel);
     may_have_run = may_have_run || MayHaveRun(last.outcome);
     running = false;
-    if (cancel.requested() && last.outcome != AttemptOutcome::kAnswered) {
-      co_await Withdraw(*ticket, last.outcome);
+    if (cancel.requested() && MayBeRepeated(work.idempotency, last.outcome)) {
+      Withdraw(*ticket, last.outcome);
       break;
     }
     ticket->EndAttempt(last.outcome);
@@ -92,16 +102,4 @@
   co_return result;
 }
 
-QCoro::Task<void> DispatchedWork::Withdraw(DispatchService::Ticket& ticket,
-                                           AttemptOutcome outcome) {
-  ticket.EndAttempt(outcome);
-  // The dispatcher may have started a retry at once, which holds a slot again.
-  while (ticket.Next().await_ready()) {
-    const auto action = co_await ticket.Next();
-    if (!action || !std::holds_alternative<dispatch::StartAttempt>(*action)) break;
-    ticket.EndAttempt(AttemptOutcome::kNotRun);
-  }
-  ticket.Cancel();
-}
-
 }  // namespace citronferry::node
--- a/src/node/gateway/internal/dispatched_work.h
+++ b/src/node/gateway/internal/dispatched_work.h
@@ -18,7 +18,6 @@
 
  private:
   QCoro::Task<AttemptResult> RunAttempt(Work work, InstanceId executor, StopSignal& cancel);
-  QCoro::Task<void> Withdraw(DispatchService::Ticket& ticket, dispatch::AttemptOutcome outcome);
 
   NodeContext& m_context;
   DispatchService& m_dispatch;
--- a/src/node/gateway/internal/gateway_service.cc
+++ b/src/node/gateway/internal/gateway_service.cc
@@ -20,7 +20,7 @@
         m_ledger(context, context.platform.tables(), context.platform.objects()),
         m_jobs(context, JobStore(context.platform.tables(), context.platform.objects())),
         m_handler(context, m_work, m_ledger, m_jobs),
-        m_server(context.timers, MakeOptions(context.settings),
+        m_server(context.timers, MakeOptions(context),
                  [this](http::Request request) { return m_handler.Handle(std::move(request)); }) {}
 
   QCoro::Task<Ret> Run() override {
@@ -34,9 +34,11 @@
   void Stop() override { m_server.Stop(); }
 
  private:
-  static http::ServerOptions MakeOptions(const document::Settings& settings) {
+  static http::ServerOptions MakeOptions(const NodeContext& context) {
+    const document::Settings& settings = context.settings;
     return {.address = QHostAddress(QString::fromStdString(settings.caller_listener.address)),
-            .port = settings.caller_listener.port};
+            .port = settings.caller_listener.port,
+            .tls = context.tls};
   }
 
   DispatchService m_dispatch;
--- a/src/node/gateway/tests/gateway_test.cc
+++ b/src/node/gateway/tests/gateway_test.cc
@@ -111,6 +111,7 @@
     FleetView fleet;
     if (present) {
       fleet.instances.push_back({.id = InstanceId("i1"), .address = m_backend->address()});
+      fleet.ownership[InstanceId("i1")] = {.pool = PoolName("p"), .serving = true};
     }
     m_context->fleet.Set(fleet);
   }
@@ -263,6 +264,25 @@
   EXPECT_EQ(Show("waiting").status, 404);
 }
 
+// Guards against a second run of a request that was submitted as non-idempotent, when a new
+// configuration lets the dispatcher repeat it.
+TEST_F(GatewayTest, QueueThatBecomesIdempotentRepeatsNothing) {
+  OneShot<int> release;
+  m_backend->hold = &release;
+  m_backend->drop_every = 1;
+  const auto result = Start(Post("flip"));
+  ASSERT_TRUE(ProcessEventsUntil([&] { return m_backend->runs.count("flip") == 1; }));
+  document::Document changed = *m_context->configuration.Get().document;
+  for (document::Queue& queue : changed.queues) queue.idempotent = true;
+  ActiveConfiguration configuration{.version = 2};
+  configuration.document = std::make_shared<document::Document>(changed);
+  m_context->configuration.Set(configuration);
+  release.Set(0);
+  ASSERT_TRUE(ProcessEventsUntil([&] { return result->has_value(); }));
+  EXPECT_EQ(Outcome(**result), "unknown");
+  EXPECT_EQ(TotalRuns(), 1);
+}
+
 // Guards against untrue answers to a cancellation, and against running a cancelled request.
 TEST_F(GatewayTest, CancellationSaysWhetherTheRequestRan) {
   SetInstances(false);
