--- a/src/node/membership/tests/entries_test.cc
+++ b/src/node/membership/tests/entries_test.cc
@@ -21,7 +21,7 @@
          "# revision " +
          std::to_string(revision) +
          "\n"
-         "[[service]]\nname = \"billing\"\npool = \"p\"\nmax_unavailable = 2\n"
+         "[[service]]\nname = \"billing\"\npool = \"p\"\nmax_unavailable = 1\n"
          "[[pool]]\nname = \"p\"\ninstances = [\"i1\", \"i2\"]\n"
          "[[queue]]\nname = \"tally\"\nservice = \"billing\"\n";
 }
