--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -23,6 +23,8 @@
 
 namespace citronferry::node {
 
+class WorkRunner;
+
 /// The configuration in force on this entry.
 struct ActiveConfiguration {
   uint64_t version = 0;  ///< 0 until the first configuration is adopted.
@@ -128,6 +130,7 @@
   Observable<Lifecycle> lifecycle;                ///< Set by the node and the drain command.
   Observable<PlannerStatus> planner;              ///< Set by the planner.
   std::function<GatewayLoad()> read_load;         ///< Set by the gateway while it runs.
+  WorkRunner* work = nullptr;                     ///< Set by the gateway while it runs.
 
   Observable<PeerConfiguration> peer_configuration;  ///< Last one announced; set by membership.
   Observable<PeerView> peers;                        ///< Set by membership.
--- a/tests/process/process_test.cc
+++ b/tests/process/process_test.cc
@@ -60,6 +60,22 @@
   EXPECT_EQ(report->wrong_answers, 0);
 }
 
+// Guards against idempotent service that depends on the platform's store (P-store outage), and
+// against non-idempotent requests that run without a claim while it is down.
+TEST(ProcessTest, StoreOutageStopsOnlyWhatNeedsTheStore) {
+  Rig rig({});
+  ASSERT_TRUE(rig.StartServing());
+  rig.SetPlatformSwitches("{\"outage\":true}");
+  const standin::LoadReport idempotent = rig.RunLoad("manifest", "o", 100, 1s, 1);
+  EXPECT_EQ(Count(idempotent, "answered"), Total(idempotent)) << idempotent.ToJson();
+  const standin::LoadReport tally = rig.RunLoad("tally", "p", 50, 500ms, 1);
+  EXPECT_EQ(Count(tally, "not-run"), Total(tally)) << tally.ToJson();
+  rig.SetPlatformSwitches("{}");
+  const standin::LoadReport after = rig.RunLoad("tally", "p", 50, 500ms, 1);
+  EXPECT_EQ(Count(after, "answered"), Total(after)) << after.ToJson();
+  EXPECT_EQ(rig.TotalCount("repeated"), 0);
+}
+
 // Guards against a configuration that reaches only some entries. The bound of the target is 4 s.
 TEST(ProcessTest, ConfigurationIsInForceEverywhereWithinFourSeconds) {
   Rig rig({});
@@ -94,5 +110,22 @@
   EXPECT_EQ(rig.entry(0).exit_code(), 0);
 }
 
+// Guards against a frozen entry that doubles work after it wakes (leases lapse while paused).
+TEST(ProcessTest, FrozenEntryDoublesNothingWhenItWakes) {
+  Rig rig({});
+  ASSERT_TRUE(rig.StartServing());
+  std::unique_ptr<standin::LoadReport> report;
+  standin::LoadOptions options = rig.MakeLoadOptions("tally", "f", 50, 3s, 4);
+  options.deadline = 1s;
+  rig.StartLoad(options, report);
+  const TimePoint start = rig.timers().Now();
+  ASSERT_TRUE(ProcessEventsUntil([&] { return rig.timers().Now() - start > 500ms; }));
+  rig.entry(2).Signal(SIGSTOP);
+  ASSERT_TRUE(ProcessEventsUntil([&] { return rig.timers().Now() - start > 3s; }));
+  rig.entry(2).Signal(SIGCONT);
+  ASSERT_TRUE(ProcessEventsUntil([&] { return report != nullptr; }));
+  EXPECT_EQ(rig.TotalCount("repeated"), 0) << report->ToJson();
+}
+
 }  // namespace
 }  // namespace citronferry::test
