Use only instances that the document names; cap deadlines; measure answers

Slot loans assume that no request holds a slot longer than its queue's deadline, but callers could ask for more. Change: gateway, status and loans share one rule, document and row together; Citronferry-Deadline-Ms is capped by the queue's deadline; a histogram of answers and the age of the instance list are exported.

--- a/src/document/internal/settings.cc
+++ b/src/document/internal/settings.cc
@@ -34,9 +34,9 @@
      "File with the CURVE key pair of this entry. Required when `peer_listener` is not on "
      "loopback."},
     {"tls_certificate_file", TextOf<&Settings::tls_certificate_file>(&CheckText, kPath), "",
-     "PEM certificate chain of the caller listener. Needs `tls_key_file`."},
+     "PEM certificate chain of the caller and admin listeners. Needs `tls_key_file`."},
     {"tls_key_file", TextOf<&Settings::tls_key_file>(&CheckText, kPath), "",
-     "PEM private key of the caller listener. Needs `tls_certificate_file`."},
+     "PEM private key of the caller and admin listeners. Needs `tls_certificate_file`."},
     {"log_level",
      ChoiceRule<Settings>{
          .names = kLogLevels,
--- a/src/node/fleet/internal/fleet_watcher.cc
+++ b/src/node/fleet/internal/fleet_watcher.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "node/fleet/fleet_module.h"
 #include "node/planner/ownership_codec.h"
@@ -25,7 +26,11 @@
 /// Polls the platform's instance list and the change feed of the ownership rows.
 class FleetWatcher : public Service {
  public:
-  explicit FleetWatcher(NodeContext& context) : m_context(context) {}
+  explicit FleetWatcher(NodeContext& context)
+      : m_context(context),
+        m_list_age(context.metrics.Gauge("citronferry_instance_list_age_seconds",
+                                         "Time since the platform's instance list was read.")),
+        m_last_list(context.timers.Now()) {}
 
   QCoro::Task<Ret> Run() override {
     while (!m_stop.requested()) {
@@ -42,6 +47,13 @@
  private:
   QCoro::Task<bool> PollInstances(FleetView& view) {
     auto instances = co_await m_context.platform.instances().List();
+    const TimePoint now = m_context.timers.Now();
+    if (instances.ok()) m_last_list = now;
+    m_list_age.Set(ToSeconds(now - m_last_list));
+    if (instances.ok() != std::exchange(m_list_available, instances.ok())) {
+      Log(instances.ok() ? LogLevel::kInfo : LogLevel::kWarning, "instance_list_availability",
+          {{"available", instances.ok()}, {"error", instances.ret().message()}});
+    }
     if (!instances.ok()) co_return false;
     view.instances = std::move(instances).value();
     co_return true;
@@ -79,6 +91,9 @@
   }
 
   NodeContext& m_context;
+  prometheus::Gauge& m_list_age;
+  TimePoint m_last_list;
+  bool m_list_available = true;
   StopSignal m_stop;
 };
 
--- a/src/node/gateway/internal/policy.cc
+++ b/src/node/gateway/internal/policy.cc
@@ -9,14 +9,6 @@
 namespace {
 
 /// The document only names the pool of an instance without a row yet; the planner creates the row.
-std::map<InstanceId, PoolName> PoolsOfInstances(const NodeContext& context) {
-  std::map<InstanceId, PoolName> pools;
-  for (const auto& [instance, ownership] : context.fleet.Get().ownership) {
-    if (ownership.serving) pools[instance] = ownership.pool;
-  }
-  return pools;
-}
-
 int OwnSlots(const NodeContext& context, std::span<const EntryId> roster,
              const InstanceId& instance) {
   // A share grows only when every entry must have seen the roster that makes it grow.
@@ -58,7 +50,7 @@
 std::vector<dispatch::ExecutorState> MakeExecutorStates(const NodeContext& context) {
   std::vector<EntryId> roster;
   for (const RosterEntry& entry : context.roster.Get().entries) roster.push_back(entry.id);
-  const std::map<InstanceId, PoolName> pools = PoolsOfInstances(context);
+  const std::map<InstanceId, PoolName> pools = PoolsInService(context);
   std::vector<dispatch::ExecutorState> executors;
   for (const platform::InstanceInfo& instance : context.fleet.Get().instances) {
     const auto pool = pools.find(instance.id);
--- a/src/node/gateway/internal/request_check.cc
+++ b/src/node/gateway/internal/request_check.cc
@@ -42,7 +42,8 @@
                   "Citronferry-Deadline-Ms must be an integer of at most 28 days");
   }
   if (*milliseconds <= 0) return NotRun(408, "deadline_passed", "the deadline has passed");
-  time_left = std::chrono::milliseconds(*milliseconds);
+  // Slot loans rely on the queue's deadline as the longest time that a request holds a slot.
+  time_left = std::min<Duration>(time_left, std::chrono::milliseconds(*milliseconds));
   return std::nullopt;
 }
 
--- a/src/node/gateway/internal/request_handler.cc
+++ b/src/node/gateway/internal/request_handler.cc
@@ -72,6 +72,7 @@
   bool path_is_known = false;
   const Route* route = FindRoute(request.method, request.path, call.target, path_is_known);
   const bool draining = m_context.lifecycle.Get() == Lifecycle::kDraining;
+  const TimePoint start = m_context.timers.Now();
   std::optional<TeamName> team;
   if (call.document) {
     team = AuthenticateTeam(*call.document, http::FindHeader(request.headers, "Authorization"));
@@ -92,11 +93,20 @@
   const std::string outcome(http::FindHeader(response.headers, kOutcomeHeader));
   span.SetTag("outcome", outcome);
   span.SetTag("request", http::FindHeader(response.headers, kRequestIdHeader));
+  RecordAnswer(outcome.empty() ? "none" : outcome, m_context.timers.Now() - start);
+  co_return response;
+}
+
+void RequestHandler::RecordAnswer(const std::string& outcome, Duration elapsed) {
   m_context.metrics
       .Counter("citronferry_requests_total", "Requests answered, by outcome.",
                {{"outcome", outcome}})
       .Increment();
-  co_return response;
+  m_context.metrics
+      .LatencyHistogram("citronferry_request_seconds",
+                        "Time from the arrival of a request to its answer, by outcome.",
+                        {{"outcome", outcome}})
+      .Observe(ToSeconds(elapsed));
 }
 
 QCoro::Task<http::Response> RequestHandler::SubmitRequest(Call call) {
--- a/src/node/gateway/internal/request_handler.h
+++ b/src/node/gateway/internal/request_handler.h
@@ -18,6 +18,7 @@
   QCoro::Task<http::Response> Handle(http::Request request);
 
  private:
+  void RecordAnswer(const std::string& outcome, Duration elapsed);
   /// A submission that this entry is working on.
   struct Active {
     StopSignal cancel;
--- a/src/node/internal/node_context.cc
+++ b/src/node/internal/node_context.cc
@@ -20,14 +20,11 @@
   std::map<InstanceId, PoolName> pools;
   const auto& document = context.configuration.Get().document;
   if (!document) return pools;
+  const auto& rows = context.fleet.Get().ownership;
   for (const document::Pool& pool : document->pools) {
-    for (const InstanceId& instance : pool.instances) pools[instance] = pool.name;
-  }
-  for (const auto& [instance, ownership] : context.fleet.Get().ownership) {
-    if (ownership.serving) {
-      pools[instance] = ownership.pool;
-    } else {
-      pools.erase(instance);
+    for (const InstanceId& instance : pool.instances) {
+      const auto row = rows.find(instance);
+      if (row != rows.end() && row->second.serving) pools[instance] = row->second.pool;
     }
   }
   return pools;
