Apply the limit of requests that a team runs at once

Cause: max_in_flight of a team was parsed and checked, but dispatch did not know it, so a team could take every slot of every pool.

Change: TeamPolicy gets max_in_flight (0 sets no limit), mapped from the document. An attempt counts from its start until AttemptEnded, also when its request is cancelled. A team at its limit is taken out of the fair share of a class when it would be next, and its retries move to a list of its own, so other teams and classes use the slots. When an attempt of the team ends, it rejoins at the current virtual time and thus saves up no credit. The pool that gave the place back comes last; otherwise it would take each place again and the team's requests in other pools would wait for ever. An event touches only the classes and retries in which the team itself waits, so the cost does not depend on the number of teams. Work of teams that are set aside does not count in the wait estimate of others.

Conclusion: the limit holds in each entry, not over all of them: with n entries a team can run n times max_in_flight. A limit over the fleet needs a share for each entry, which dispatch does not get yet.

--- a/src/decisions/dispatch/internal/class_queue.cc
+++ b/src/decisions/dispatch/internal/class_queue.cc
@@ -11,10 +11,10 @@
   if (team >= m_teams.size()) m_teams.resize(team + 1);
   TeamQueue& queue = m_teams[team];
   m_share.SetWeight(team, record.team->weight);
-  if (queue.waiting.empty()) m_share.Activate(team);
+  if (queue.waiting.empty() && !queue.held) m_share.Activate(team);
   queue.waiting.PushBack(record);
   queue.work += record.work;
-  m_work += record.work;
+  if (!queue.held) m_work += record.work;
   ++m_size;
 }
 
@@ -24,18 +24,36 @@
   queue.waiting.Remove(record);
   --m_size;
   queue.work -= record.work;
-  m_work -= record.work;
+  if (!queue.held) m_work -= record.work;
+  if (queue.waiting.empty()) {
+    queue.work = 0;
+    m_share.Deactivate(team);
+  }
   // Floating-point sums drift; an empty queue is the moment to drop the error.
-  if (m_size == 0) m_work = 0;
-  if (!queue.waiting.empty()) return;
-  queue.work = 0;
+  if (!m_share.HasActive()) m_work = 0;
+}
+
+void ClassQueue::Hold(uint32_t team) {
+  TeamQueue& queue = m_teams[team];
+  queue.held = true;
   m_share.Deactivate(team);
+  m_work = m_share.HasActive() ? m_work - queue.work : 0;
+}
+
+void ClassQueue::Resume(uint32_t team) {
+  TeamQueue& queue = m_teams[team];
+  queue.held = false;
+  if (queue.waiting.empty()) return;
+  m_share.Activate(team);
+  m_work += queue.work;
 }
 
 double ClassQueue::WorkAhead(uint32_t team) const {
   // Requests of other teams are ahead only in proportion to the work of this team.
-  const double own = team < m_teams.size() ? m_teams[team].work : 0;
-  return std::clamp(own / m_share.Share(team), 0.0, m_work);
+  const TeamQueue none;
+  const TeamQueue& queue = team < m_teams.size() ? m_teams[team] : none;
+  const double total = m_work + (queue.held ? queue.work : 0);
+  return std::clamp(queue.work / m_share.Share(team), 0.0, total);
 }
 
 }  // namespace citronferry::dispatch
--- a/src/decisions/dispatch/internal/class_queue.h
+++ b/src/decisions/dispatch/internal/class_queue.h
@@ -18,13 +18,19 @@
   void SetWeight(uint32_t team, double weight) { m_share.SetWeight(team, weight); }
   void Push(RequestRecord& record);
   void Remove(RequestRecord& record);
-  /// @return the request to start next.
+  /// @return whether a team that is not held has a request waiting.
+  bool HasStartable() const { return m_share.HasActive(); }
+  /// Sets a team aside until Resume. Its requests keep their order.
+  void Hold(uint32_t team);
+  void Resume(uint32_t team);
+  /// @return the request to start next; only with HasStartable.
   RequestRecord& Front() const { return *m_teams[m_share.Next()].waiting.front(); }
   /// Charges the team of the front request for an attempt that starts now.
   void Charge(uint32_t team, double cost) { m_share.Charge(team, cost); }
   void Correct(uint32_t team, double difference) { m_share.Correct(team, difference); }
 
-  /// @return slot time in seconds of all waiting requests, by optimistic estimates.
+  /// @return slot time in seconds of the waiting requests of teams that are not held, by
+  ///   optimistic estimates.
   double work() const { return m_work; }
   /// @return slot time in seconds that is served before a request of a team that arrives now.
   double WorkAhead(uint32_t team) const;
@@ -33,6 +39,7 @@
   struct TeamQueue {
     RecordList waiting;
     double work = 0;
+    bool held = false;
   };
 
   FairShare m_share;
--- a/src/decisions/dispatch/internal/engine.cc
+++ b/src/decisions/dispatch/internal/engine.cc
@@ -99,6 +99,7 @@
   std::sort(waiting.begin(), waiting.end(),
             [](const auto& a, const auto& b) { return a.first->number < b.first->number; });
   for (const auto& [record, place] : waiting) Dequeue(*record);
+  for (const auto& [name, team] : m_teams) ResumeTeam(*team);
   m_retry_ratio = policy.retry_budget;
   DeclareTeams(policy);
   DeclareQueues(policy);
@@ -118,10 +119,12 @@
   for (const auto& [name, team] : m_teams) {
     team->declared = m_any_team;
     team->weight = 1;
+    team->max_in_flight = 0;
   }
   for (const auto& [name, declared] : policy.teams) {
     TeamState& team = TeamOf(name);
     team.weight = declared.weight;
+    team.max_in_flight = declared.max_in_flight;
     team.declared = true;
   }
 }
@@ -260,6 +263,9 @@
   record.pool->classes[IndexOf(record.priority)].Correct(record.team->index, difference);
   record.pool->order.Correct(record.priority, difference);
 
+  --record.team->running;
+  ResumeTeam(*record.team, record.pool);
+
   const bool success = rule.known == Verdict::kAnswered;
   if (!success) {
     const auto known =
@@ -381,6 +387,10 @@
       End(*record, "the deadline leaves no time for another attempt", kRetryAfterFailure);
       return true;
     }
+    if (record->team->IsAtLimit()) {
+      HoldRetry(*record);
+      return true;
+    }
     if (Executor* executor = ChooseExecutor(*record)) {
       Dequeue(*record);
       Start(*record, *executor);
@@ -399,7 +409,7 @@
   ClassOrder::Mask startable{};
   for (size_t index = 0; index < kPriorityCount; ++index) {
     const bool may_start = others || index == IndexOf(Priority::kUrgent);
-    startable[index] = may_start && !pool.classes[index].empty();
+    startable[index] = may_start && HasStartable(pool, static_cast<Priority>(index));
   }
   while (std::find(startable.begin(), startable.end(), true) != startable.end()) {
     const Priority priority = pool.order.Next(startable);
@@ -426,8 +436,42 @@
   return false;
 }
 
+bool Engine::HasStartable(PoolState& pool, Priority priority) {
+  ClassQueue& queue = pool.classes[IndexOf(priority)];
+  while (queue.HasStartable()) {
+    TeamState& team = *queue.Front().team;
+    if (!team.IsAtLimit()) return true;
+    queue.Hold(team.index);
+    team.held_classes.push_back({.pool = &pool, .priority = priority});
+  }
+  return false;
+}
+
+void Engine::HoldRetry(RequestRecord& record) {
+  record.pool->retries.Remove(record);
+  record.team->held_retries.PushBack(record);
+  record.held = true;
+}
+
+void Engine::ResumeTeam(TeamState& team, PoolState* last) {
+  for (const HeldClass& held : std::exchange(team.held_classes, {})) {
+    ClassQueue& queue = held.pool->classes[IndexOf(held.priority)];
+    if (!queue.HasStartable()) held.pool->order.Activate(held.priority);
+    queue.Resume(team.index);
+    if (held.pool != last) MarkDirty(*held.pool);
+  }
+  while (RequestRecord* record = team.held_retries.front()) {
+    team.held_retries.Remove(*record);
+    record->held = false;
+    record->pool->retries.PushBack(*record);
+    if (record->pool != last) MarkDirty(*record->pool);
+  }
+  if (last) MarkDirty(*last);
+}
+
 void Engine::Start(RequestRecord& record, Executor& executor) {
   record.place = Place::kRunning;
+  ++record.team->running;
   record.executor = &executor;
   record.started = m_now;
   if (record.attempts > 0) record.charged = 0;
@@ -462,7 +506,7 @@
     record.pool->retries.PushBack(record);
   } else {
     ClassQueue& waiting = record.pool->classes[IndexOf(record.priority)];
-    if (waiting.empty()) record.pool->order.Activate(record.priority);
+    if (!waiting.HasStartable()) record.pool->order.Activate(record.priority);
     waiting.Push(record);
   }
   m_expiry.Add(queue.index, record.expires, record.number);
@@ -474,7 +518,8 @@
 
 void Engine::Dequeue(RequestRecord& record) {
   if (record.place == Place::kRetrying) {
-    record.pool->retries.Remove(record);
+    (record.held ? record.team->held_retries : record.pool->retries).Remove(record);
+    record.held = false;
   } else {
     record.pool->classes[IndexOf(record.priority)].Remove(record);
   }
--- a/src/decisions/dispatch/internal/engine.h
+++ b/src/decisions/dispatch/internal/engine.h
@@ -62,6 +62,11 @@
   void ExpireWaiting();
   void StartWaiting();
   bool StartRetry(PoolState& pool);
+  bool HasStartable(PoolState& pool, Priority priority);
+  void HoldRetry(RequestRecord& record);
+  /// Lets a team that was at its limit start again. The pool that gave the place back comes last,
+  /// so that the pools in which the team waits take turns.
+  void ResumeTeam(TeamState& team, PoolState* last = nullptr);
   bool StartQueued(PoolState& pool);
   void Start(RequestRecord& record, Executor& executor);
   Executor* ChooseExecutor(const RequestRecord& record) const;
--- a/src/decisions/dispatch/internal/request_record.h
+++ b/src/decisions/dispatch/internal/request_record.h
@@ -30,6 +30,7 @@
   TeamState* team = nullptr;
   Place place = Place::kNone;
   bool cancelled = false;
+  bool held = false;  ///< A retry in the list of its team, which is at its limit.
   bool idempotent = false;
   int attempts = 0;
   Verdict verdict = Verdict::kNotRun;  ///< What is known if no further attempt is made.
--- a/src/decisions/dispatch/internal/state.h
+++ b/src/decisions/dispatch/internal/state.h
@@ -2,6 +2,7 @@
 #define CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_STATE_H_
 
 #include <array>
+#include <vector>
 
 #include "decisions/dispatch/internal/class_order.h"
 #include "decisions/dispatch/internal/class_queue.h"
@@ -11,11 +12,23 @@
 
 namespace citronferry::dispatch {
 
+/// A class of a pool in which a team at its limit has been set aside.
+struct HeldClass {
+  PoolState* pool = nullptr;
+  Priority priority = Priority::kInteractive;
+};
+
 /// A team, kept after it has left the policy because running requests refer to it.
 struct TeamState {
   uint32_t index = 0;
   double weight = 1;
+  size_t max_in_flight = 0;  ///< 0 sets no limit.
+  size_t running = 0;
   bool declared = false;
+  std::vector<HeldClass> held_classes;  ///< In the order in which they were held.
+  RecordList held_retries;
+
+  bool IsAtLimit() const { return max_in_flight > 0 && running >= max_in_flight; }
 };
 
 /// A pool and what waits for it.
--- a/src/decisions/dispatch/tests/dispatcher_test.cc
+++ b/src/decisions/dispatch/tests/dispatcher_test.cc
@@ -20,10 +20,11 @@
   std::vector<Action> SetExecutors(std::vector<ExecutorState> executors) {
     return m_dispatcher.Handle(ExecutorsChanged{std::move(executors)}, m_now);
   }
-  std::vector<Action> Arrive(RequestNumber number, std::string_view queue) {
+  std::vector<Action> Arrive(RequestNumber number, std::string_view queue,
+                             std::string_view team = "t") {
     return m_dispatcher.Handle(RequestArrived{{.number = number,
                                                .queue = QueueName(queue),
-                                               .team = TeamName("t"),
+                                               .team = TeamName(team),
                                                .deadline = m_now + 60s}},
                                m_now);
   }
@@ -207,5 +208,55 @@
   }
 }
 
+// Guards against a team that runs more than its limit, against a limit that holds up other teams or
+// leaves a slot unused, and against an attempt that stops counting when it is cancelled.
+TEST_F(DispatcherTest, TeamAtItsLimitWaitsWhileOthersGoOn) {
+  SetExecutors({{.id = InstanceId("i1"), .pool = PoolName("billing"), .slots = 3}});
+  Policy policy;
+  policy.queues[QueueName("tally")] = {.pool = PoolName("billing")};
+  policy.queues[QueueName("photo")] = {.pool = PoolName("photos")};
+  policy.teams[TeamName("t")] = {.max_in_flight = 1};
+  policy.teams[TeamName("other")] = {};
+  m_dispatcher.Handle(PolicyChanged{policy}, m_now);
+  EXPECT_EQ(Arrive(1, "tally").size(), 1u);
+  EXPECT_TRUE(Arrive(2, "tally").empty());
+  EXPECT_EQ(Arrive(3, "tally", "other").size(), 1u);
+  EXPECT_EQ(Arrive(4, "tally", "other").size(), 1u) << "the waiting team leaves no slot unused";
+  EndAttempt(4, AttemptOutcome::kAnswered);
+  EXPECT_TRUE(m_dispatcher.Handle(RequestCancelled{1}, m_now).empty());
+  const auto resumed = EndAttempt(1, AttemptOutcome::kWithdrawn);
+  ASSERT_EQ(resumed.size(), 1u);
+  EXPECT_EQ(std::get<StartAttempt>(resumed[0]).number, 2u);
+  EXPECT_TRUE(Arrive(5, "tally").empty());
+  policy.teams[TeamName("t")].max_in_flight = 2;
+  EXPECT_EQ(m_dispatcher.Handle(PolicyChanged{policy}, m_now).size(), 1u);
+}
+
+// Guards against a pool whose requests wait for ever because another pool takes each place that its
+// team gets back, and against a retry that is lost while its team is at the limit.
+TEST_F(DispatcherTest, PoolsTakeTurnsWithinTheLimitOfATeam) {
+  SetExecutors({{.id = InstanceId("i1"), .pool = PoolName("billing"), .slots = 4},
+                {.id = InstanceId("i2"), .pool = PoolName("photos"), .slots = 4}});
+  Policy policy;
+  policy.queues[QueueName("manifest")] = {.pool = PoolName("billing"), .idempotent = true};
+  policy.queues[QueueName("photo")] = {.pool = PoolName("photos")};
+  policy.teams[TeamName("t")] = {.max_in_flight = 1};
+  m_dispatcher.Handle(PolicyChanged{policy}, m_now);
+  for (RequestNumber number = 1; number <= 3; ++number) Arrive(number, "manifest");
+  Arrive(4, "photo");
+  const auto next = EndAttempt(1, AttemptOutcome::kUnknown);
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(std::get<StartAttempt>(next[0]).number, 4u);
+  std::set<RequestNumber> answered{4};
+  auto actions = EndAttempt(4, AttemptOutcome::kAnswered);
+  while (actions.size() == 2u) {
+    const RequestNumber number = std::get<StartAttempt>(actions[1]).number;
+    answered.insert(number);
+    actions = EndAttempt(number, AttemptOutcome::kAnswered);
+  }
+  EXPECT_EQ(answered, (std::set<RequestNumber>{1, 2, 3, 4}));
+  EXPECT_EQ(m_dispatcher.queued() + m_dispatcher.running(), 0u);
+}
+
 }  // namespace
 }  // namespace citronferry::dispatch
--- a/src/decisions/dispatch/types.h
+++ b/src/decisions/dispatch/types.h
@@ -35,6 +35,8 @@
 
 struct TeamPolicy {
   double weight = 1.0;  ///< Share of a contended pool relative to the other teams.
+  /// Attempts of the team that this entry runs at the same time, over all pools; 0 sets no limit.
+  size_t max_in_flight = 0;
 };
 
 struct Policy {
--- a/src/node/gateway/internal/policy.cc
+++ b/src/node/gateway/internal/policy.cc
@@ -50,7 +50,8 @@
     policy.pools[pool.name] = {.urgent_reserve = pool.urgent_reserve};
   }
   for (const document::Team& team : document.teams) {
-    policy.teams[team.name] = {.weight = team.weight};
+    policy.teams[team.name] = {.weight = team.weight,
+                               .max_in_flight = static_cast<size_t>(team.max_in_flight)};
   }
   return policy;
 }
