Refuse requests of a team for a queue that it may not use

Cause: queues of a team was parsed and checked, but dispatch accepted each request of any team for any queue.

Change: TeamPolicy gets the allowed queues (empty allows every queue), mapped from the document. A request for another queue ends at once as not run, with the reason "the team may not use this queue". A change of the policy that takes the queue from the team ends its waiting requests; a running attempt is finished and not retried, and what is known about it is reported.

LimitsOfATeamReachDispatch covers the mapping of both limits; it was not run without the mapping.

The caller gets the outcome not-run from dispatch; a status of its own (403) is left to the request handler, which this commit does not change.

--- a/src/decisions/dispatch/internal/engine.cc
+++ b/src/decisions/dispatch/internal/engine.cc
@@ -38,6 +38,16 @@
   }
 }
 
+/// @return what a change of the policy took away that the request needs; empty if nothing.
+std::string_view WhatWasRemoved(const RequestRecord& record) {
+  if (!record.queue->declared) return "the queue was removed from the configuration";
+  if (!record.team->declared) return "the team was removed from the configuration";
+  if (!record.team->MayUse(record.queue->name)) {
+    return "the queue was removed from the queues of the team";
+  }
+  return {};
+}
+
 }  // namespace
 
 // In the order of AttemptOutcome.
@@ -104,12 +114,11 @@
   DeclareTeams(policy);
   DeclareQueues(policy);
   for (const auto& [record, place] : waiting) {
-    if (!record->queue->declared) {
-      End(*record, "the queue was removed from the configuration");
-    } else if (!record->team->declared) {
-      End(*record, "the team was removed from the configuration");
-    } else {
+    const std::string_view removed = WhatWasRemoved(*record);
+    if (removed.empty()) {
       Enqueue(*record, place);
+    } else {
+      End(*record, std::string(removed));
     }
   }
 }
@@ -120,11 +129,13 @@
     team->declared = m_any_team;
     team->weight = 1;
     team->max_in_flight = 0;
+    team->queues.clear();
   }
   for (const auto& [name, declared] : policy.teams) {
     TeamState& team = TeamOf(name);
     team.weight = declared.weight;
     team.max_in_flight = declared.max_in_flight;
+    team.queues = declared.queues;
     team.declared = true;
   }
 }
@@ -193,6 +204,9 @@
   if (team_item == m_teams.end() || !team_item->second->declared) {
     return Refuse(request.number, "unknown team");
   }
+  if (!team_item->second->MayUse(request.queue)) {
+    return Refuse(request.number, "the team may not use this queue");
+  }
   QueueState& queue = *queue_item->second;
   TeamState& team = *team_item->second;
   if (queue.waiting >= queue.policy.max_queued) DropHopeless(queue);
@@ -318,8 +332,8 @@
       record.attempts >= max_attempts * kSickAttemptsFactor) {
     return End(record, std::string(FailureReason(record.verdict)), kRetryAfterFailure);
   }
-  if (!record.queue->declared) return End(record, "the queue was removed from the configuration");
-  if (!record.team->declared) return End(record, "the team was removed from the configuration");
+  const std::string_view removed = WhatWasRemoved(record);
+  if (!removed.empty()) return End(record, std::string(removed));
   if (m_now >= record.deadline || IsHopeless(record, m_now)) {
     return End(record, "the deadline leaves no time for another attempt", kRetryAfterFailure);
   }
--- a/src/decisions/dispatch/internal/state.h
+++ b/src/decisions/dispatch/internal/state.h
@@ -2,6 +2,7 @@
 #define CITRONFERRY_DECISIONS_DISPATCH_INTERNAL_STATE_H_
 
 #include <array>
+#include <set>
 #include <vector>
 
 #include "decisions/dispatch/internal/class_order.h"
@@ -25,10 +26,12 @@
   size_t max_in_flight = 0;  ///< 0 sets no limit.
   size_t running = 0;
   bool declared = false;
+  std::set<QueueName> queues;           ///< Empty allows every queue.
   std::vector<HeldClass> held_classes;  ///< In the order in which they were held.
   RecordList held_retries;
 
   bool IsAtLimit() const { return max_in_flight > 0 && running >= max_in_flight; }
+  bool MayUse(const QueueName& queue) const { return queues.empty() || queues.contains(queue); }
 };
 
 /// A pool and what waits for it.
--- a/src/decisions/dispatch/tests/dispatcher_test.cc
+++ b/src/decisions/dispatch/tests/dispatcher_test.cc
@@ -258,5 +258,28 @@
   EXPECT_EQ(m_dispatcher.queued() + m_dispatcher.running(), 0u);
 }
 
+// Guards against a team that uses a queue of others, and against requests that go on after their
+// team has lost the queue.
+TEST_F(DispatcherTest, TeamUsesOnlyItsQueues) {
+  Policy policy;
+  policy.queues[QueueName("tally")] = {.pool = PoolName("billing")};
+  policy.queues[QueueName("manifest")] = {.pool = PoolName("billing"), .idempotent = true};
+  policy.teams[TeamName("t")] = {.queues = {QueueName("manifest")}};
+  m_dispatcher.Handle(PolicyChanged{policy}, m_now);
+  const auto refused = Arrive(1, "tally");
+  ASSERT_EQ(refused.size(), 1u);
+  ASSERT_TRUE(std::holds_alternative<EndRequest>(refused[0]));
+  EXPECT_EQ(std::get<EndRequest>(refused[0]).verdict, Verdict::kNotRun);
+  EXPECT_EQ(std::get<EndRequest>(refused[0]).reason, "the team may not use this queue");
+  ASSERT_EQ(Arrive(2, "manifest").size(), 1u);
+  EXPECT_TRUE(Arrive(3, "manifest").empty());
+  policy.teams[TeamName("t")] = {.queues = {QueueName("tally")}};
+  EXPECT_EQ(m_dispatcher.Handle(PolicyChanged{policy}, m_now).size(), 1u) << "3 has not started";
+  const auto ended = EndAttempt(2, AttemptOutcome::kUnknown);
+  ASSERT_EQ(ended.size(), 1u);
+  ASSERT_TRUE(std::holds_alternative<EndRequest>(ended[0]));
+  EXPECT_EQ(std::get<EndRequest>(ended[0]).verdict, Verdict::kUnknown);
+}
+
 }  // namespace
 }  // namespace citronferry::dispatch
--- a/src/decisions/dispatch/types.h
+++ b/src/decisions/dispatch/types.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -37,6 +38,7 @@
   double weight = 1.0;  ///< Share of a contended pool relative to the other teams.
   /// Attempts of the team that this entry runs at the same time, over all pools; 0 sets no limit.
   size_t max_in_flight = 0;
+  std::set<QueueName> queues;  ///< Queues that the team may use; empty allows every queue.
 };
 
 struct Policy {
--- a/src/node/gateway/internal/policy.cc
+++ b/src/node/gateway/internal/policy.cc
@@ -51,7 +51,8 @@
   }
   for (const document::Team& team : document.teams) {
     policy.teams[team.name] = {.weight = team.weight,
-                               .max_in_flight = static_cast<size_t>(team.max_in_flight)};
+                               .max_in_flight = static_cast<size_t>(team.max_in_flight),
+                               .queues = {team.queues.begin(), team.queues.end()}};
   }
   return policy;
 }
--- a/src/node/planner/tests/planning_test.cc
+++ b/src/node/planner/tests/planning_test.cc
@@ -68,6 +68,16 @@
   EXPECT_EQ(executors[0].pool, PoolName("b"));
 }
 
+// Guards against limits of a team that the document declares and dispatch does not get.
+TEST(PolicyTest, LimitsOfATeamReachDispatch) {
+  document::Document document;
+  document.teams = {
+      {.name = TeamName("t"), .max_in_flight = 3, .queues = {QueueName("tally")}, .token_sha256{}}};
+  const dispatch::TeamPolicy team = MakeDispatchPolicy(document).teams.at(TeamName("t"));
+  EXPECT_EQ(team.max_in_flight, 3u);
+  EXPECT_EQ(team.queues, std::set{QueueName("tally")});
+}
+
 // Guards against an instance of two pools, and against a budget that is not the smallest one.
 TEST(PlanningTest, DocumentIsReducedToOnePoolAndTheSmallestBudget) {
   Planning planning(EntryId("e0"));
