--- a/src/decisions/dispatch/internal/engine.cc
+++ b/src/decisions/dispatch/internal/engine.cc
@@ -38,6 +38,16 @@
   }
 }
 
+/// @return what a change of the policy took away that the request needs; empty if nothing.
+std::string_view WhatWasRemoved(const RequestRecord& record) {
+  if (!record.queue->declared) return "the queue was removed from the configuration";
+  if (!record.team->declared) return "the team was removed from the configuration";
+  if (!record.team->MayUse(record.queue->name)) {
+    return "the queue was removed from the queues of the team";
+  }
+  return {};
+}
+
 }  // namespace
 
 // In the order of AttemptOutcome.
@@ -87,16 +97,16 @@
   std::sort(waiting.begin(), waiting.end(),
             [](const auto& a, const auto& b) { return a.first->number < b.first->number; });
   for (const auto& [record, place] : waiting) Dequeue(*record);
+  for (const auto& [name, team] : m_teams) ResumeTeam(*team);
   m_retry_ratio = policy.retry_budget;
   DeclareTeams(policy);
   DeclareQueues(policy);
   for (const auto& [record, place] : waiting) {
-    if (!record->queue->declared) {
-      End(*record, "the queue was removed from the configuration");
-    } else if (!record->team->declared) {
-      End(*record, "the team was removed from the configuration");
-    } else {
+    const std::string_view removed = WhatWasRemoved(*record);
+    if (removed.empty()) {
       Enqueue(*record, place);
+    } else {
+      End(*record, std::string(removed));
     }
   }
 }
@@ -106,10 +116,14 @@
   for (const auto& [name, team] : m_teams) {
     team->declared = m_any_team;
     team->weight = 1;
+    team->max_in_flight = 0;
+    team->queues.clear();
   }
   for (const auto& [name, declared] : policy.teams) {
     TeamState& team = TeamOf(name);
     team.weight = declared.weight;
+    team.max_in_flight = declared.max_in_flight;
+    team.queues = declared.queues;
     team.declared = true;
   }
 }
@@ -153,6 +167,9 @@
   if (team_item == m_teams.end() || !team_item->second->declared) {
     return Refuse(request.number, "unknown team");
   }
+  if (!team_item->second->MayUse(request.queue)) {
+    return Refuse(request.number, "the team may not use this queue");
+  }
   QueueState& queue = *queue_item->second;
   TeamState& team = *team_item->second;
   if (queue.waiting >= queue.policy.max_queued) DropHopeless(queue);
@@ -223,6 +240,9 @@
   record.pool->classes[IndexOf(record.priority)].Correct(record.team->index, difference);
   record.pool->order.Correct(record.priority, difference);
 
+  --record.team->running;
+  ResumeTeam(*record.team, record.pool);
+
   const bool success = rule.known == Verdict::kAnswered;
   if (!success) {
     const auto known =
@@ -268,8 +288,8 @@
       record.attempts >= max_attempts * kSickAttemptsFactor) {
     return End(record, std::string(FailureReason(record.verdict)), kRetryAfterFailure);
   }
-  if (!record.queue->declared) return End(record, "the queue was removed from the configuration");
-  if (!record.team->declared) return End(record, "the team was removed from the configuration");
+  const std::string_view removed = WhatWasRemoved(record);
+  if (!removed.empty()) return End(record, std::string(removed));
   if (m_now >= record.deadline || IsHopeless(record, m_now)) {
     return End(record, "the deadline leaves no time for another attempt", kRetryAfterFailure);
   }
@@ -306,6 +326,10 @@
       End(*record, "the deadline leaves no time for another attempt", kRetryAfterFailure);
       return true;
     }
+    if (record->team->IsAtLimit()) {
+      HoldRetry(*record);
+      return true;
+    }
     if (Executor* executor = ChooseExecutor(*record)) {
       Dequeue(*record);
       Start(*record, *executor);
@@ -324,7 +348,7 @@
   ClassOrder::Mask startable{};
   for (size_t index = 0; index < kPriorityCount; ++index) {
     const bool may_start = others || index == IndexOf(Priority::kUrgent);
-    startable[index] = may_start && !pool.classes[index].empty();
+    startable[index] = may_start && HasStartable(pool, static_cast<Priority>(index));
   }
   while (std::find(startable.begin(), startable.end(), true) != startable.end()) {
     const Priority priority = pool.order.Next(startable);
@@ -351,8 +375,42 @@
   return false;
 }
 
+bool Engine::HasStartable(PoolState& pool, Priority priority) {
+  ClassQueue& queue = pool.classes[IndexOf(priority)];
+  while (queue.HasStartable()) {
+    TeamState& team = *queue.Front().team;
+    if (!team.IsAtLimit()) return true;
+    queue.Hold(team.index);
+    team.held_classes.push_back({.pool = &pool, .priority = priority});
+  }
+  return false;
+}
+
+void Engine::HoldRetry(RequestRecord& record) {
+  record.pool->retries.Remove(record);
+  record.team->held_retries.PushBack(record);
+  record.held = true;
+}
+
+void Engine::ResumeTeam(TeamState& team, PoolState* last) {
+  for (const HeldClass& held : std::exchange(team.held_classes, {})) {
+    ClassQueue& queue = held.pool->classes[IndexOf(held.priority)];
+    if (!queue.HasStartable()) held.pool->order.Activate(held.priority);
+    queue.Resume(team.index);
+    if (held.pool != last) MarkDirty(*held.pool);
+  }
+  while (RequestRecord* record = team.held_retries.front()) {
+    team.held_retries.Remove(*record);
+    record->held = false;
+    record->pool->retries.PushBack(*record);
+    if (record->pool != last) MarkDirty(*record->pool);
+  }
+  if (last) MarkDirty(*last);
+}
+
 void Engine::Start(RequestRecord& record, Executor& executor) {
   record.place = Place::kRunning;
+  ++record.team->running;
   record.executor = &executor;
   record.started = m_now;
   if (record.attempts > 0) record.charged = 0;
@@ -381,7 +439,7 @@
     record.pool->retries.PushBack(record);
   } else {
     ClassQueue& waiting = record.pool->classes[IndexOf(record.priority)];
-    if (waiting.empty()) record.pool->order.Activate(record.priority);
+    if (!waiting.HasStartable()) record.pool->order.Activate(record.priority);
     waiting.Push(record);
   }
   m_expiry.Add(queue.index, record.expires, record.number);
@@ -393,7 +451,8 @@
 
 void Engine::Dequeue(RequestRecord& record) {
   if (record.place == Place::kRetrying) {
-    record.pool->retries.Remove(record);
+    (record.held ? record.team->held_retries : record.pool->retries).Remove(record);
+    record.held = false;
   } else {
     record.pool->classes[IndexOf(record.priority)].Remove(record);
   }
