Hold the status and policy tests to the new rules

Status: the expected text now has the planner, waves and instances that are out. Policy: an instance with a serving row that the document does not name is not used; the test fails without that rule (2 executors instead of 1).

--- a/src/node/admin/tests/status_test.cc
+++ b/src/node/admin/tests/status_test.cc
@@ -54,7 +54,21 @@
   document.teams.push_back({.name = TeamName("t"), .token_sha256 = "token-digest"});
   m_context.configuration.Set(
       {.version = 7, .digest = "d", .document = std::make_shared<document::Document>(document)});
-  m_context.fleet.Set({.instances = {{.id = InstanceId("i1")}}});
+  FleetView fleet;
+  fleet.instances = {{.id = InstanceId("i1")}, {.id = InstanceId("i2")}};
+  fleet.ownership[InstanceId("i1")] = {.pool = PoolName("p"), .serving = true};
+  fleet.ownership[InstanceId("i2")] = {.pool = PoolName("p"), .serving = false};
+  m_context.fleet.Set(std::move(fleet));
+  m_context.planner.Set({.holder = "e2",
+                         .epoch = 3,
+                         .pools = {{.pool = PoolName("p"),
+                                    .wave = "kernel",
+                                    .instances = 2,
+                                    .remaining = 1,
+                                    .planned = 1,
+                                    .allowed = 1,
+                                    .estimate = 90s}},
+                         .moving = {{InstanceId("i2"), PoolName("q")}}});
   m_context.roster.Set({.entries = {{.id = EntryId("e1"), .configuration_version = 7},
                                     {.id = EntryId("e2"), .acknowledged_sequence = 4}}});
   const std::string status = RenderStatus(m_context).toStdString();
@@ -64,8 +78,11 @@
             R"("id":"e1"},{"acknowledged_sequence":4,"alive":false,"configuration_version":0,)"
             R"("id":"e2"}],"entry":"e1","incarnation":"abc","lifecycle":"serving",)"
             R"("outcomes":{"answered":0,"failed":0,"not-run":0,"unknown":0},)"
-            R"("pools":[{"free_slots":0,"instances":1,"max_unavailable":2,"name":"p",)"
-            R"("serving":1,"waiting":0}]})");
+            R"("planner":{"acting":false,"epoch":3,"holder":"e2","moving":{"i2":"q"}},)"
+            R"("pools":[{"free_slots":0,"instances":2,"max_unavailable":2,"name":"p",)"
+            R"("out":["i2"],"serving":1,"waiting":0}],)"
+            R"("waves":[{"allowed_out":1,"done":1,"failed":[],"name":"kernel","planned_out":1,)"
+            R"("pool":"p","seconds_left":90,"total":2,"unplanned_out":0}]})");
 }
 
 // Guards against a drain without the token, in particular when no token is configured.
--- a/src/node/planner/tests/planning_test.cc
+++ b/src/node/planner/tests/planning_test.cc
@@ -47,8 +47,8 @@
   EXPECT_FALSE(DecodeInstanceRow(R"({"pool":"a","state":"draining"})"));
 }
 
-// Guards against requests to an instance that is not attached, also when its row does not exist
-// yet.
+// Guards against requests to an instance that is not attached, whose row does not exist yet, or
+// that was removed from the document and counts against no budget any more.
 TEST(PolicyTest, OnlyServingRowsAreUsed) {
   Metrics metrics;
   platform::PlatformModule platform({.url = "http://127.0.0.1:1"});
@@ -57,15 +57,21 @@
   NodeContext context{
       .settings = settings, .timers = timers, .metrics = metrics, .platform = platform};
   auto document = std::make_shared<document::Document>();
-  document->pools = {{.name = PoolName("a"), .instances = {InstanceId("i0"), InstanceId("i1")}}};
+  document->pools = {
+      {.name = PoolName("a"), .instances = {InstanceId("i0"), InstanceId("i1"), InstanceId("i2")}}};
   context.configuration.Set({.version = 1, .document = std::move(document)});
   FleetView fleet;
-  fleet.instances = {{.id = InstanceId("i0")}, {.id = InstanceId("i1")}, {.id = InstanceId("i2")}};
+  fleet.instances = {{.id = InstanceId("i0")},
+                     {.id = InstanceId("i1")},
+                     {.id = InstanceId("i2")},
+                     {.id = InstanceId("i3")}};
   fleet.ownership[InstanceId("i1")] = {.pool = PoolName("a"), .serving = false};
   fleet.ownership[InstanceId("i2")] = {.pool = PoolName("b"), .serving = true};
+  fleet.ownership[InstanceId("i3")] = {.pool = PoolName("b"), .serving = true};
   context.fleet.Set(std::move(fleet));
   const auto executors = MakeExecutorStates(context);
   ASSERT_EQ(executors.size(), 1u);
+  EXPECT_EQ(executors[0].id, InstanceId("i2"));
   EXPECT_EQ(executors[0].pool, PoolName("b"));
 }
 
