Keep waves to their daily window and repeat them

Cause: start, end, every and maintenance_time of a wave were parsed and checked, but the planner took instances out at any time of day, never repeated a wave, and estimated with 3 min until the first instance was back.

Only taking out is gated: what is out is brought back, counted and timed out as before. The pool row records when a wave ended (completed_at), and the wave starts again `every` later, unless another wave of the pool is in progress. The declared time (instance_timeout if none is declared) is used until a maintenance has been observed, and the estimate adds the waits for the window. The budget does not depend on the wall clock. An end that lies in the future is replaced by the present time, so a clock that was ahead does not put the next wave off.

Waves of one pool run one after the other, so one that waits for its window holds up the next. Moves between pools follow no window.

--- a/src/decisions/maintenance/estimate.h
+++ b/src/decisions/maintenance/estimate.h
@@ -2,6 +2,7 @@
 #define CITRONFERRY_DECISIONS_MAINTENANCE_ESTIMATE_H_
 
 #include "base/time.h"
+#include "decisions/maintenance/window.h"
 
 namespace citronferry::maintenance {
 
@@ -9,11 +10,20 @@
 ///   Zero when nothing is allowed.
 Duration RollOutTime(int instances, int allowed, Duration maintenance_time);
 
+/// @param time_of_day at which the roll-out goes on.
+/// @return RollOutTime plus the waits for the window: each step starts inside it and may end after
+/// it.
+Duration RollOutTime(int instances, int allowed, Duration maintenance_time,
+                     const DailyWindow& window, Duration time_of_day);
+
 /// Learns how long an instance is out for maintenance.
 class MaintenanceTime {
  public:
   void Add(Duration sample);
-  Duration Get() const { return m_mean; }
+  /// @param declared used until a maintenance has been observed; zero if not declared.
+  Duration Get(Duration declared) const {
+    return m_observed || declared == Duration::zero() ? m_mean : declared;
+  }
 
  private:
   // A drain and a reboot take minutes; this only serves until the first instance is back.
--- a/src/decisions/maintenance/internal/estimate.cc
+++ b/src/decisions/maintenance/internal/estimate.cc
@@ -7,6 +7,16 @@
   return (instances + allowed - 1) / allowed * maintenance_time;
 }
 
+Duration RollOutTime(int instances, int allowed, Duration maintenance_time,
+                     const DailyWindow& window, Duration time_of_day) {
+  if (allowed <= 0) return Duration::zero();
+  Duration elapsed{};
+  for (int left = instances; left > 0; left -= allowed) {
+    elapsed += window.TimeUntilOpen(time_of_day + elapsed) + maintenance_time;
+  }
+  return elapsed;
+}
+
 void MaintenanceTime::Add(Duration sample) {
   m_mean = m_observed ? (7 * m_mean + sample) / 8 : sample;
   m_observed = true;
--- a/src/decisions/maintenance/internal/maintenance.cc
+++ b/src/decisions/maintenance/internal/maintenance.cc
@@ -37,6 +37,20 @@
   for (OutInstance& out : row.out) out.generation = 0;
 }
 
+/// Makes completed waves start again when their period is over.
+void ForgetDueWaves(PoolRow& row, const std::vector<Wave>& waves, int64_t wall_seconds) {
+  for (const Wave& wave : waves) {
+    if (!row.completed.contains(wave.name)) continue;
+    // Rows written before the time was recorded have none; their period starts now.
+    int64_t& since = row.completed_at.try_emplace(wave.name, wall_seconds).first->second;
+    // A clock that was ahead at the end of the wave must not put the next one off.
+    since = std::min(since, wall_seconds);
+    if (std::chrono::seconds(wall_seconds - since) < wave.every) continue;
+    row.completed.erase(wave.name);
+    row.completed_at.erase(wave.name);
+  }
+}
+
 }  // namespace
 
 std::vector<Action> Maintenance::Handle(const Event& event, TimePoint now) {
@@ -125,7 +139,7 @@
   const bool current = m_document >= step.row.document;
   if (current) {
     step.row.document = m_document;
-    StartWave(step);
+    StartWave(step, tick);
   }
   // Until the row carries this planner's epoch, a planner that resumes late could still write it.
   const bool fenced = stored != m_rows.end() && stored->second.epoch == tick.epoch;
@@ -188,8 +202,10 @@
   step.progress.allowed = std::max(0, step.plan.max_planned - step.progress.unplanned);
 }
 
-void Maintenance::StartWave(Step& step) {
+void Maintenance::StartWave(Step& step, const Tick& tick) {
   PoolRow& row = step.row;
+  // A repetition does not interrupt another wave, whose progress would be lost.
+  if (row.wave.empty()) ForgetDueWaves(row, step.plan.waves, tick.wall_seconds);
   for (const Wave& wave : step.plan.waves) {
     const auto completed = row.completed.find(wave.name);
     if (completed != row.completed.end() && completed->second >= wave.generation) continue;
@@ -242,16 +258,20 @@
     if (usable && !m_failed_racks.contains(instance->rack)) candidates.push_back(instance);
   }
   const int total = step.progress.instances;
-  step.progress.lower_bound = RollOutTime(total, step.plan.max_planned, m_time.Get());
+  const Duration time = m_time.Get(wave->maintenance_time);
+  const Duration time_of_day = TimeOfDay(tick.wall_seconds);
+  step.progress.lower_bound = RollOutTime(total, step.plan.max_planned, time);
   step.progress.estimate =
-      RollOutTime(step.progress.remaining, step.progress.allowed, m_time.Get());
+      RollOutTime(step.progress.remaining, step.progress.allowed, time, wave->window, time_of_day);
 
   // A pool without rows is one whose rows were not created yet.
   if (step.progress.remaining == 0 && row.out.empty() && total > 0) {
     row.completed[wave->name] = row.generation;
+    row.completed_at[wave->name] = tick.wall_seconds;
     EndWave(row);
     return;
   }
+  if (!wave->window.Contains(time_of_day)) return;
   const bool rack_failed =
       std::any_of(step.unplanned_by_rack.begin(), step.unplanned_by_rack.end(),
                   [](const auto& rack) { return rack.second >= kRackFailure; });
--- a/src/decisions/maintenance/maintenance.h
+++ b/src/decisions/maintenance/maintenance.h
@@ -41,7 +41,7 @@
   void UpdateOut(Step& step);
   bool UpdateOutInstance(Step& step, OutInstance& out);
   void CountUnavailable(Step& step);
-  void StartWave(Step& step);
+  void StartWave(Step& step, const Tick& tick);
   void TakeForMoves(Step& step, const Tick& tick);
   void TakeForWave(Step& step, const Tick& tick);
   void TakeOut(Step& step, const Instance& instance, OutInstance out);
--- a/src/decisions/maintenance/tests/maintenance_test.cc
+++ b/src/decisions/maintenance/tests/maintenance_test.cc
@@ -48,7 +48,7 @@
   int Plan(bool written = true) {
     planner.Handle(FleetObserved{.list_read = now, .instances = m_instances}, now);
     int taken = 0;
-    for (const Action& action : planner.Handle(Tick{.epoch = epoch}, now)) {
+    for (const Action& action : planner.Handle(Tick{.epoch = epoch, .wall_seconds = wall}, now)) {
       if (std::holds_alternative<ReportFailed>(action)) ++reported;
       const auto* write = std::get_if<WritePool>(&action);
       if (!write || !written || write->expected_version.value_or(0) != version) continue;
@@ -100,6 +100,7 @@
   }
 
   TimePoint now{1h};
+  int64_t wall = 0;
   uint64_t epoch = 0;
   uint64_t version = 0;
   PoolRow row;
@@ -121,16 +122,24 @@
 };
 
 // Guards against a budget that a planned step exceeds (P1), in spite of failures, lost writes and
-// changes of the planner, and against a wave that does not come to its end.
+// changes of the planner and jumps of the wall clock, against a step outside the window, and
+// against a wave that does not come to its end.
 TEST(MaintenancePropertyTest, PlannedStepsKeepTheBudget) {
   EXPECT_TRUE(rc::check("planned + unplanned <= max_unavailable after a planned step", [] {
     const auto commands = *rc::gen::resize(
         300, rc::gen::container<std::vector<uint32_t>>(rc::gen::inRange(0U, 100'000U)));
     World world(static_cast<Order>(*rc::gen::inRange(0, 3)));
+    const DailyWindow window{.start = *rc::gen::inRange(0, 24) * 1h,
+                             .end = *rc::gen::inRange(0, 25) * 1h};
+    Wave& wave = world.plan.pools[0].waves[0];
+    wave.window = window;
+    wave.every = 24h;
+    world.Replace();
     for (const uint32_t command : commands) {
       const uint32_t argument = command / 8;
       Instance& instance = world.At(argument % 12);
       world.now += 1s;
+      if (command % 16 == 15) world.wall = argument * int64_t{1'000'003} - 1'000'000'000;
       switch (command % 8) {
         case 0:
           instance.live = false;
@@ -149,10 +158,13 @@
           break;
         default:
           // The reserve of 1 is kept free by planned steps.
-          if (world.Plan(argument % 5 != 0) > 0) RC_ASSERT(world.Unavailable() <= 3);
+          if (world.Plan(argument % 5 != 0) == 0) break;
+          RC_ASSERT(world.Unavailable() <= 3);
+          RC_ASSERT(window.Contains(TimeOfDay(world.wall)));
       }
     }
     for (size_t i = 0; i < 12; ++i) world.Finish(world.At(i).id);
+    world.wall = std::chrono::duration_cast<std::chrono::seconds>(window.start).count();
     world.RunWave();
     RC_ASSERT(world.row.completed.at("kernel") == 1);
   }));
@@ -231,5 +243,56 @@
   EXPECT_EQ(world.Plan(), 0) << "the document of the row is newer";
 }
 
+constexpr int64_t kHour = 3600;
+constexpr int64_t kDay = 24 * kHour;
+
+// Guards against maintenance outside the window of the wave, and against an instance that stays out
+// because the window has closed.
+TEST(MaintenanceTest, InstancesAreTakenOutOnlyInTheWindow) {
+  World world;
+  world.plan.pools[0].waves[0].window = {.start = 22h, .end = 2h};
+  world.Replace();
+  world.wall = 22 * kHour - 1;
+  world.Plan();
+  EXPECT_EQ(world.Plan(), 0) << "the window has not opened";
+  world.wall = 22 * kHour;
+  EXPECT_EQ(world.Plan(), 3);
+  world.wall = kDay + 2 * kHour;
+  for (const OutInstance& out : std::vector(world.row.out)) world.Finish(out.instance);
+  EXPECT_EQ(world.Plan(), 0) << "the window has closed";
+  EXPECT_TRUE(world.row.out.empty());
+  EXPECT_EQ(world.row.done.size(), 3u);
+  world.wall = kDay + 2 * kHour - 1;
+  EXPECT_EQ(world.Plan(), 3) << "the window reaches into the next day";
+}
+
+// Guards against a wave that is not repeated, that is repeated early, or that a wall clock which
+// was ahead puts off.
+TEST(MaintenanceTest, WaveIsRepeatedAfterItsPeriod) {
+  World world;
+  world.plan.pools[0].waves[0].every = 7 * 24h;
+  world.Replace();
+  world.wall = 1000 * kDay;
+  world.RunWave();
+  world.wall += 7 * kDay - 1;
+  EXPECT_EQ(world.Plan(), 0);
+  world.wall += 1;
+  EXPECT_EQ(world.Plan(), 3);
+  EXPECT_TRUE(world.row.done.empty());
+  world.RunWave();
+  world.wall -= 500 * kDay;
+  EXPECT_EQ(world.Plan(), 0);
+  world.wall += 7 * kDay;
+  EXPECT_EQ(world.Plan(), 3) << "the period counts from the corrected time";
+}
+
+// Guards against an estimate that ignores the declared time or the hours without maintenance.
+TEST(MaintenanceTest, EstimateCountsTheWaitsForTheWindow) {
+  const DailyWindow window{.start = 22h, .end = 23h};
+  EXPECT_EQ(RollOutTime(9, 3, 40min, window, 21h), 1h + 24h + 40min);
+  EXPECT_EQ(RollOutTime(9, 0, 40min, window, 21h), 0h);
+  EXPECT_EQ(MaintenanceTime().Get(40min), 40min);
+}
+
 }  // namespace
 }  // namespace citronferry::maintenance
--- a/src/decisions/maintenance/types.h
+++ b/src/decisions/maintenance/types.h
@@ -10,6 +10,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "decisions/maintenance/window.h"
 
 namespace citronferry::maintenance {
 
@@ -41,6 +42,8 @@
   std::vector<InstanceId> done;          ///< Maintained by the wave in progress, in this order.
   std::vector<InstanceId> previous;      ///< Order in which earlier waves maintained instances.
   std::map<std::string, int> completed;  ///< Generation of each wave that ended on this pool.
+  /// When each of these waves ended, by the wall clock in seconds since 1970.
+  std::map<std::string, int64_t> completed_at;
 
   friend bool operator==(const PoolRow&, const PoolRow&) = default;
 };
@@ -63,6 +66,9 @@
   std::string name;
   Order order = Order::kRackByRack;
   Duration instance_timeout = 15min;
+  Duration maintenance_time{};  ///< Usual time of one instance; zero if not declared.
+  DailyWindow window;
+  Duration every = 24h * 28;  ///< Time from the end of the wave until it starts again.
   int generation = 1;
 };
 
@@ -99,8 +105,8 @@
 /// Asks for the next actions.
 struct Tick {
   uint64_t epoch = 0;
-  int64_t wall_seconds = 0;
-  std::vector<Move> moves;  ///< Wanted, most important first.
+  int64_t wall_seconds = 0;  ///< Wall clock, seconds since 1970; may jump either way.
+  std::vector<Move> moves;   ///< Wanted, most important first.
 };
 
 using Event = std::variant<PlanObserved, PoolObserved, FleetObserved, Tick>;
--- a/src/node/planner/internal/planning.cc
+++ b/src/node/planner/internal/planning.cc
@@ -31,6 +31,11 @@
     plan.waves.push_back({.name = wave.name,
                           .order = kOrders[static_cast<size_t>(wave.order)],
                           .instance_timeout = wave.instance_timeout,
+                          .maintenance_time = wave.maintenance_time > Duration::zero()
+                                                  ? wave.maintenance_time
+                                                  : wave.instance_timeout,
+                          .window = {.start = wave.start, .end = wave.end},
+                          .every = wave.every,
                           .generation = wave.generation});
   }
   return plan;
--- a/src/node/planner/internal/row_codec.cc
+++ b/src/node/planner/internal/row_codec.cc
@@ -64,6 +64,10 @@
   for (const maintenance::OutInstance& entry : row.out) out.append(EncodeOut(entry));
   QJsonObject completed;
   for (const auto& [wave, generation] : row.completed) completed[ToQString(wave)] = generation;
+  QJsonObject completed_at;
+  for (const auto& [wave, seconds] : row.completed_at) {
+    completed_at[ToQString(wave)] = static_cast<qint64>(seconds);
+  }
   return ToText({{QStringLiteral("epoch"), static_cast<qint64>(row.epoch)},
                  {QStringLiteral("document"), static_cast<qint64>(row.document)},
                  {QStringLiteral("out"), out},
@@ -71,7 +75,8 @@
                  {QStringLiteral("generation"), row.generation},
                  {QStringLiteral("done"), EncodeIds(row.done)},
                  {QStringLiteral("previous"), EncodeIds(row.previous)},
-                 {QStringLiteral("completed"), completed}});
+                 {QStringLiteral("completed"), completed},
+                 {QStringLiteral("completed_at"), completed_at}});
 }
 
 std::optional<maintenance::PoolRow> DecodePoolRow(std::string_view text) {
@@ -90,6 +95,10 @@
   for (auto wave = completed.begin(); wave != completed.end(); ++wave) {
     row.completed[wave.key().toStdString()] = wave.value().toInt();
   }
+  const QJsonObject completed_at = json->value(QLatin1String("completed_at")).toObject();
+  for (auto wave = completed_at.begin(); wave != completed_at.end(); ++wave) {
+    row.completed_at[wave.key().toStdString()] = wave.value().toInteger();
+  }
   return row;
 }
 
--- a/src/node/planner/tests/planning_test.cc
+++ b/src/node/planner/tests/planning_test.cc
@@ -32,7 +32,8 @@
                                   .generation = 2,
                                   .done = {InstanceId("i2")},
                                   .previous = {InstanceId("i3")},
-                                  .completed = {{"kernel", 1}}};
+                                  .completed = {{"kernel", 1}},
+                                  .completed_at = {{"kernel", 1'800'000'001}}};
   EXPECT_EQ(DecodePoolRow(EncodePoolRow(pool)), pool);
   const leadership::LeaseRow lease{.holder = "e1/0f", .epoch = 4, .renewed = 5};
   EXPECT_EQ(DecodeLeaseRow(EncodeLeaseRow(lease)), lease);
@@ -96,5 +97,35 @@
   EXPECT_EQ(planning.maintenance().progress()[0].allowed, 2);
 }
 
+// Guards against a wave whose window or maintenance time does not reach the plan.
+TEST(PlanningTest, WindowAndMaintenanceTimeOfAWaveReachThePlan) {
+  Planning planning(EntryId("e0"));
+  document::Document document;
+  const InstanceId id("i1");
+  document.pools = {{.name = PoolName("a"), .instances = {id}}};
+  document.waves = {{.name = "kernel",
+                     .pools = {PoolName("a")},
+                     .maintenance_time = 20min,
+                     .start = 2h,
+                     .end = 4h}};
+  planning.Observe(document, 1, TimePoint(1s));
+  const ownership::RowObserved row{
+      .id = id, .row = ownership::InstanceRow{.pool = PoolName("a")}, .version = 1, .sequence = 1};
+  planning.Observe(row, TimePoint(1s));
+  const std::vector<platform::InstanceInfo> list{{.id = id}};
+  planning.Observe(list, TimePoint(1s), TimePoint(1s));
+  constexpr int64_t kMidnight = 86'400;
+  planning.Step(1, kMidnight, TimePoint(1s));
+  planning.Observe(
+      maintenance::PoolObserved{
+          .pool = PoolName("a"), .row = maintenance::PoolRow{.epoch = 1}, .version = 1},
+      TimePoint(1s));
+  planning.Step(1, kMidnight, TimePoint(1s));
+  EXPECT_EQ(planning.maintenance().progress()[0].planned, 0);
+  EXPECT_EQ(planning.maintenance().progress()[0].estimate, 2h + 20min);
+  planning.Step(1, kMidnight + 3 * 3600, TimePoint(1s));
+  EXPECT_EQ(planning.maintenance().progress()[0].planned, 1);
+}
+
 }  // namespace
 }  // namespace citronferry::node
