End the silence of the stand-ins when the caller disconnects; damage traces in a test

Ruled out: the platform client, whose call had ended at its deadline of 300 ms. Change: a silent call ends with its connection.

--- a/src/replay/tests/replay_test.cc
+++ b/src/replay/tests/replay_test.cc
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 
 namespace citronferry::replay {
@@ -51,6 +52,24 @@
   EXPECT_FALSE(unknown.ok());
 }
 
+// Guards against a damaged trace that crashes the reader or passes without a comparison.
+TEST(ReplayTest, DamagedTracesNeverCrashTheReader) {
+  constexpr int kRounds = 300;
+  std::mt19937 random(20261204);
+  for (const std::filesystem::path& path : TraceFiles()) {
+    const std::string valid = ReadText(path).substr(0, 1500);
+    for (int round = 0; round < kRounds; ++round) {
+      std::string damaged = valid;
+      for (int i = 0; i < 3; ++i) {
+        damaged[random() % damaged.size()] = static_cast<char>(random() % 256);
+      }
+      damaged.resize(damaged.size() - random() % 20);
+      const ReplayResult result = ReplayTrace(damaged);
+      EXPECT_TRUE(!result.error.empty() || !result.expectations.empty());
+    }
+  }
+}
+
 // Guards against faults in a trace that are reported without their place.
 TEST(ReplayTest, NamesTheLineOfAFault) {
   EXPECT_EQ(ReplayTrace("{\"at_ms\":5,\"event\":\"end\"}\n{broken\n").error.substr(0, 7),
--- a/standins/backend/backend_standin.cc
+++ b/standins/backend/backend_standin.cc
@@ -36,7 +36,7 @@
   m_max_running = std::max(m_max_running, m_running);
   co_await SleepFor(m_timers, m_switches.run_time);
   --m_running;
-  if (m_switches.silent) co_await SleepFor(m_timers, kSilence);
+  if (m_switches.silent) co_await SleepFor(m_timers, kSilence, request.abandoned.get());
   http::Response response;
   response.headers.push_back({"Content-Type", "text/plain"});
   response.body = QByteArray::fromStdString("ran " + id + " ") + request.body;
--- a/standins/platform/platform_standin.cc
+++ b/standins/platform/platform_standin.cc
@@ -59,7 +59,7 @@
 QCoro::Task<http::Response> PlatformStandin::Handle(http::Request request) {
   std::string_view path = request.path;
   if (ConsumePrefix(path, "/standin/")) co_return HandleControl(request, path);
-  if (m_switches.silent) co_await SleepFor(m_timers, kSilence);
+  if (m_switches.silent) co_await SleepFor(m_timers, kSilence, request.abandoned.get());
   if (m_switches.delay > Duration::zero()) co_await SleepFor(m_timers, m_switches.delay);
   if (m_switches.outage) co_return http::MakeErrorResponse(503, "outage", "injected outage");
   http::Response response = Route(request);
