Share the text conversion and the bearer token parsing

Change: node/qt_text.h, http/authorization.h and Sha256Hex serve all of them. Ruled out: merging the module headers, which are alike by design.

--- a/src/node/admin/internal/status.cc
+++ b/src/node/admin/internal/status.cc
@@ -8,22 +8,21 @@
 #include <algorithm>
 #include <array>
 
+#include "http/authorization.h"
+#include "node/qt_text.h"
+
 namespace citronferry::node {
 namespace {
 
 constexpr std::array<const char*, 4> kOutcomes{"answered", "not-run", "unknown", "failed"};
 
-QString Text(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 QJsonArray RenderEntries(const NodeContext& context) {
   QJsonArray entries;
   for (const RosterEntry& entry : context.roster.Get().entries) {
     const bool alive =
         entry.id == context.settings.id || context.peers.Get().alive.contains(entry.id);
     entries.append(QJsonObject{
-        {QStringLiteral("id"), Text(entry.id.view())},
+        {QStringLiteral("id"), ToQString(entry.id.view())},
         {QStringLiteral("configuration_version"), static_cast<qint64>(entry.configuration_version)},
         {QStringLiteral("acknowledged_sequence"), static_cast<qint64>(entry.acknowledged_sequence)},
         {QStringLiteral("alive"), alive}});
@@ -68,10 +67,10 @@
     const auto waiting = load.waiting.find(pool.name);
     QJsonArray out;
     for (const auto& [id, ownership] : fleet.ownership) {
-      if (ownership.pool == pool.name && !ownership.serving) out.append(Text(id.view()));
+      if (ownership.pool == pool.name && !ownership.serving) out.append(ToQString(id.view()));
     }
     pools.append(
-        QJsonObject{{QStringLiteral("name"), Text(pool.name.view())},
+        QJsonObject{{QStringLiteral("name"), ToQString(pool.name.view())},
                     {QStringLiteral("instances"), instances},
                     {QStringLiteral("serving"), live},
                     {QStringLiteral("max_unavailable"), MaxUnavailable(*document, pool.name)},
@@ -87,9 +86,9 @@
 QJsonObject RenderPlanner(const PlannerStatus& planner) {
   QJsonObject moving;
   for (const auto& [instance, target] : planner.moving) {
-    moving.insert(Text(instance.view()), Text(target.view()));
+    moving.insert(ToQString(instance.view()), ToQString(target.view()));
   }
-  return {{QStringLiteral("holder"), Text(planner.holder)},
+  return {{QStringLiteral("holder"), ToQString(planner.holder)},
           {QStringLiteral("acting"), planner.acting},
           {QStringLiteral("epoch"), static_cast<qint64>(planner.epoch)},
           {QStringLiteral("moving"), moving}};
@@ -100,9 +99,9 @@
   for (const PlannerPoolStatus& pool : planner.pools) {
     if (pool.wave.empty()) continue;
     QJsonArray failed;
-    for (const InstanceId& instance : pool.failed) failed.append(Text(instance.view()));
-    waves.append(QJsonObject{{QStringLiteral("name"), Text(pool.wave)},
-                             {QStringLiteral("pool"), Text(pool.pool.view())},
+    for (const InstanceId& instance : pool.failed) failed.append(ToQString(instance.view()));
+    waves.append(QJsonObject{{QStringLiteral("name"), ToQString(pool.wave)},
+                             {QStringLiteral("pool"), ToQString(pool.pool.view())},
                              {QStringLiteral("done"), pool.instances - pool.remaining},
                              {QStringLiteral("total"), pool.instances},
                              {QStringLiteral("planned_out"), pool.planned},
@@ -136,13 +135,13 @@
   const ActiveConfiguration& configuration = context.configuration.Get();
   const bool draining = context.lifecycle.Get() == Lifecycle::kDraining;
   const QJsonObject json{
-      {QStringLiteral("entry"), Text(context.settings.id.view())},
-      {QStringLiteral("incarnation"), Text(context.incarnation)},
+      {QStringLiteral("entry"), ToQString(context.settings.id.view())},
+      {QStringLiteral("incarnation"), ToQString(context.incarnation)},
       {QStringLiteral("lifecycle"),
        draining ? QStringLiteral("draining") : QStringLiteral("serving")},
       {QStringLiteral("configuration"),
        QJsonObject{{QStringLiteral("version"), static_cast<qint64>(configuration.version)},
-                   {QStringLiteral("digest"), Text(configuration.digest)}}},
+                   {QStringLiteral("digest"), ToQString(configuration.digest)}}},
       {QStringLiteral("entries"), RenderEntries(context)},
       {QStringLiteral("pools"), RenderPools(context)},
       {QStringLiteral("planner"), RenderPlanner(context.planner.Get())},
@@ -173,21 +172,12 @@
 }
 
 bool IsAuthorized(std::string_view authorization, std::string_view token) {
-  constexpr std::string_view kScheme = "Bearer ";
-  if (token.empty() || !authorization.starts_with(kScheme)) return false;
-  authorization.remove_prefix(kScheme.size());
+  const std::string_view given = http::BearerToken(authorization);
+  if (token.empty() || given.empty()) return false;
   // Digests have one length, so that the comparison does not reveal the token's.
-  using Digest = std::array<unsigned char, crypto_generichash_BYTES>;
-  const auto digest = [](std::string_view text) {
-    Digest result{};
-    crypto_generichash(result.data(), result.size(),
-                       reinterpret_cast<const unsigned char*>(text.data()), text.size(), nullptr,
-                       0);
-    return result;
-  };
-  const Digest given = digest(authorization);
-  const Digest expected = digest(token);
-  return sodium_memcmp(given.data(), expected.data(), given.size()) == 0;
+  const std::string given_digest = Sha256Hex(given);
+  const std::string expected_digest = Sha256Hex(token);
+  return sodium_memcmp(given_digest.data(), expected_digest.data(), given_digest.size()) == 0;
 }
 
 }  // namespace citronferry::node
--- a/src/node/gateway/answer_record.h
+++ b/src/node/gateway/answer_record.h
@@ -10,6 +10,7 @@
 #include "decisions/requests/types.h"
 #include "http/message.h"
 #include "node/gateway/work_runner.h"
+#include "node/qt_text.h"
 #include "platform/object_store.h"
 
 namespace citronferry::node {
@@ -19,7 +20,6 @@
 
 inline constexpr char kOutcomeHeader[] = "Citronferry-Outcome";
 
-QString ToQString(std::string_view text);
 /// @return the text of a member; empty when it is absent.
 std::string TextMember(const QJsonObject& json, const char* name);
 /// @return the bytes of a Base64 member.
--- a/src/node/gateway/internal/answer_record.cc
+++ b/src/node/gateway/internal/answer_record.cc
@@ -36,10 +36,6 @@
 
 }  // namespace
 
-QString ToQString(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
-
 std::string TextMember(const QJsonObject& json, const char* name) {
   return json.value(QLatin1String(name)).toString().toStdString();
 }
--- a/src/node/gateway/internal/team_directory.cc
+++ b/src/node/gateway/internal/team_directory.cc
@@ -2,19 +2,14 @@
 
 #include <sodium.h>
 
+#include "http/authorization.h"
 #include "node/node_context.h"
 
 namespace citronferry::node {
 
-std::string_view BearerToken(std::string_view authorization) {
-  constexpr std::string_view kScheme = "Bearer ";
-  if (!authorization.starts_with(kScheme)) return {};
-  return authorization.substr(kScheme.size());
-}
-
 std::optional<TeamName> AuthenticateTeam(const document::Document& document,
                                          std::string_view authorization) {
-  const std::string_view token = BearerToken(authorization);
+  const std::string_view token = http::BearerToken(authorization);
   if (token.empty()) return std::nullopt;
   const std::string digest = Sha256Hex(token);
   const document::Team* match = nullptr;
--- a/src/node/gateway/internal/team_directory.h
+++ b/src/node/gateway/internal/team_directory.h
@@ -13,9 +13,6 @@
 std::optional<TeamName> AuthenticateTeam(const document::Document& document,
                                          std::string_view authorization);
 
-/// @return the token of a "Bearer" Authorization header, or an empty view.
-std::string_view BearerToken(std::string_view authorization);
-
 }  // namespace citronferry::node
 
 #endif  // CITRONFERRY_NODE_GATEWAY_INTERNAL_TEAM_DIRECTORY_H_
--- a/src/node/membership/internal/roster_row.cc
+++ b/src/node/membership/internal/roster_row.cc
@@ -3,14 +3,9 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
-namespace citronferry::node {
-namespace {
-
-QString ToQString(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
+#include "node/qt_text.h"
 
-}  // namespace
+namespace citronferry::node {
 
 std::string EncodeRosterRow(const RosterEntry& entry) {
   QJsonObject in_flight;
--- a/src/node/planner/internal/json.h
+++ b/src/node/planner/internal/json.h
@@ -7,11 +7,9 @@
 #include <string>
 #include <string_view>
 
-namespace citronferry::node {
+#include "node/qt_text.h"
 
-inline QString ToQString(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-}
+namespace citronferry::node {
 
 inline std::string ToText(const QJsonObject& json) {
   return QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString();
