--- a/benchmarks/planner/planner_benchmark.cc
+++ b/benchmarks/planner/planner_benchmark.cc
@@ -43,9 +43,9 @@
     for (PlanningAction& action : step.actions) Apply(action);
   }
   void Observe() {
-    std::vector<platform::InstanceInfo> visible;
+    std::vector<provider::InstanceInfo> visible;
     visible.reserve(m_list.size());
-    for (const platform::InstanceInfo& info : m_list) {
+    for (const provider::InstanceInfo& info : m_list) {
       const auto back = m_rebooting.find(info.id);
       if (back == m_rebooting.end() || back->second <= m_now) visible.push_back(info);
     }
@@ -85,7 +85,7 @@
   }
 
   document::Document m_document;
-  std::vector<platform::InstanceInfo> m_list;
+  std::vector<provider::InstanceInfo> m_list;
   std::map<InstanceId, TimePoint> m_rebooting;
   Planning m_planning{EntryId("e0")};
   uint64_t m_sequence = 0;
--- a/cmake/citronferry.cmake
+++ b/cmake/citronferry.cmake
@@ -29,6 +29,9 @@
 
 # citronferry_test(NAME SOURCES ... DEPS ...) adds one GoogleTest program and registers it with CTest.
 function(citronferry_test name)
+  if(NOT CITRONFERRY_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE citronferry_options ${ARG_DEPS} GTest::gtest_main)
--- a/src/cli/internal/apply_command.cc
+++ b/src/cli/internal/apply_command.cc
@@ -32,7 +32,7 @@
   }
   return RunNetworkCommand([&]() -> QCoro::Task<int> {
     const auto timers = MakeQtTimerService();
-    platform::PlatformModule platform(
+    provider::ProviderModule platform(
         {.url = publish.options->platform.url, .token = publish.options->platform.token});
     Publisher publisher(platform, *timers);
     PublishRequest request{.environment = kTrial,
--- a/src/cli/internal/promote_command.cc
+++ b/src/cli/internal/promote_command.cc
@@ -59,7 +59,7 @@
   }
   return RunNetworkCommand([&]() -> QCoro::Task<int> {
     const auto timers = MakeQtTimerService();
-    platform::PlatformModule platform(
+    provider::ProviderModule platform(
         {.url = publish.options->platform.url, .token = publish.options->platform.token});
     Publisher publisher(platform, *timers);
     co_return co_await Promote(publisher, *publish.options, trial_version);
--- a/src/cli/internal/publisher.cc
+++ b/src/cli/internal/publisher.cc
@@ -20,7 +20,7 @@
   return ret.code() == ErrorCode::kUnavailable || ret.code() == ErrorCode::kUnknownOutcome;
 }
 
-std::optional<ConfigurationRow> ParseRow(const platform::Row& row) {
+std::optional<ConfigurationRow> ParseRow(const provider::Row& row) {
   const QJsonObject json = QJsonDocument::fromJson(QByteArray::fromStdString(row.value)).object();
   const auto text = [&json](const char* key) {
     return json.value(QLatin1String(key)).toString().toStdString();
@@ -76,10 +76,10 @@
 
 QCoro::Task<RetVal<ConfigurationRow>> Publisher::ReadRow(std::string environment) {
   const auto get = [&] {
-    platform::RowKey key{.table = kConfigTable, .key = environment};
+    provider::RowKey key{.table = kConfigTable, .key = environment};
     return m_platform.tables().Get(std::move(key));
   };
-  const auto row = co_await Retry<RetVal<platform::Row>>(m_timers, get);
+  const auto row = co_await Retry<RetVal<provider::Row>>(m_timers, get);
   if (row.code() == ErrorCode::kNotFound) co_return ConfigurationRow();
   if (!row.ok()) co_return row.ret();
   const auto parsed = ParseRow(row.value());
@@ -160,8 +160,8 @@
   co_return co_await Retry<Ret>(m_timers, put);
 }
 
-QCoro::Task<RetVal<platform::Row>> Publisher::WriteRow(PreparedChange change) {
-  platform::RowKey key{.table = kConfigTable, .key = change.request.environment};
+QCoro::Task<RetVal<provider::Row>> Publisher::WriteRow(PreparedChange change) {
+  provider::RowKey key{.table = kConfigTable, .key = change.request.environment};
   std::string value = FormatRow(change);
   if (change.current.row_version == 0) {
     co_return co_await m_platform.tables().Create(std::move(key), std::move(value));
--- a/src/cli/internal/publisher.h
+++ b/src/cli/internal/publisher.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "base/ret.h"
-#include "platform/platform_module.h"
+#include "provider/provider_module.h"
 #include "supervision/timer_service.h"
 
 namespace citronferry::cli {
@@ -48,7 +48,7 @@
 /// written with a condition on the version that was read.
 class Publisher {
  public:
-  Publisher(platform::PlatformModule& platform, TimerService& timers)
+  Publisher(provider::ProviderModule& platform, TimerService& timers)
       : m_platform(platform), m_timers(timers) {}
 
   /// @return what is in force in an environment; version 0 when there is nothing.
@@ -67,12 +67,12 @@
 
  private:
   QCoro::Task<Ret> WriteObject(std::string digest, std::string text);
-  QCoro::Task<RetVal<platform::Row>> WriteRow(PreparedChange change);
+  QCoro::Task<RetVal<provider::Row>> WriteRow(PreparedChange change);
   QCoro::Task<std::string> DescribeDifference(std::string base_digest, std::string digest);
   QCoro::Task<Ret> MakeConflict(ConfigurationRow current, std::string base_digest,
                                 std::string own_digest);
 
-  platform::PlatformModule& m_platform;
+  provider::ProviderModule& m_platform;
   TimerService& m_timers;
 };
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -4,6 +4,7 @@
 #include <qcoro/qcorotask.h>
 
 #include <QSslConfiguration>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,11 +15,10 @@
 #include "http/message.h"
 #include "supervision/awaitables.h"
 
-class QNetworkAccessManager;
-class QNetworkReply;
-
 namespace citronferry::http {
 
+class ClientConnection;
+
 /// Whether a request may be carried out more than once.
 enum class Idempotency { kIdempotent, kNonIdempotent };
 
@@ -34,14 +34,18 @@
 
 struct ClientOptions {
   size_t max_connections_per_server = 64;
+  size_t max_idle_connections_per_server = 8;
   qint64 max_response_bytes = 8 * 1024 * 1024;
   std::optional<QSslConfiguration> tls;
 };
 
-/// HTTP client over Qt that sends a non-idempotent request at most once.
+/// HTTP/1.1 client on Qt sockets with Boost.Beast's codec that sends a non-idempotent request at
+/// most once.
 ///
 /// A non-idempotent request travels on a connection of its own that is closed afterwards, so it is
-/// never written to a kept-alive connection that a middlebox has forgotten.
+/// never written to a kept-alive connection that a middlebox has forgotten. Idempotent requests
+/// share kept-alive connections; one that ends before the first byte of the response is replaced
+/// once by a fresh connection, since the server may have closed it while it was idle.
 class Client {
  public:
   explicit Client(ClientOptions options = {});
@@ -61,15 +65,23 @@
   /// that are in flight go on.
   void ForgetConnections();
 
+  /// @return connections opened since the start.
+  uint64_t opened_connections() const { return m_opened_connections; }
+
  private:
-  struct Lane;
+  struct ServerPool {
+    size_t in_use = 0;
+    std::vector<std::unique_ptr<ClientConnection>> idle;
+  };
 
-  Lane* AcquireLane(const std::string& authority, Idempotency idempotency);
-  void ReleaseLane(Lane* lane, const std::string& authority);
-  QNetworkReply* StartExchange(Lane& lane, const ClientRequest& request);
+  std::unique_ptr<ClientConnection> TakeConnection(const std::string& authority,
+                                                   Idempotency idempotency);
+  void ReturnConnection(const std::string& authority, std::unique_ptr<ClientConnection> connection);
 
   ClientOptions m_options;
-  std::vector<std::unique_ptr<Lane>> m_lanes;
+  std::map<std::string, ServerPool> m_servers;  // By authority.
+  uint64_t m_generation = 0;                    // Raised by ForgetConnections.
+  uint64_t m_opened_connections = 0;
 };
 
 }  // namespace citronferry::http
--- /dev/null
+++ b/src/http/internal/client_connection.cc
@@ -0,0 +1,197 @@
+#include "http/internal/client_connection.h"
+
+#include <QSslSocket>
+#include <QTimer>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <limits>
+#include <utility>
+
+namespace citronferry::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+using Parser = beast::http::response_parser<beast::http::string_body>;
+
+// Larger than any header block of the servers this client talks to.
+constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+
+QByteArray Serialize(const QUrl& url, const ClientRequest& request, bool keep_alive) {
+  beast::http::request<beast::http::string_body> message;
+  message.method_string(request.method);
+  QByteArray target = url.path(QUrl::FullyEncoded).toUtf8();
+  if (target.isEmpty()) target = "/";
+  if (url.hasQuery()) target += '?' + url.query(QUrl::FullyEncoded).toUtf8();
+  message.target({target.constData(), static_cast<size_t>(target.size())});
+  message.set(beast::http::field::host, url.authority().toStdString());
+  for (const Header& header : request.headers) message.set(header.name, header.value);
+  if (!keep_alive) message.set(beast::http::field::connection, "close");
+  const bool has_body = request.method != "GET" && request.method != "HEAD";
+  if (has_body) {
+    message.body() = request.body.toStdString();
+    if (message.find(beast::http::field::content_type) == message.end()) {
+      message.set(beast::http::field::content_type, "application/octet-stream");
+    }
+    message.content_length(message.body().size());
+  }
+
+  QByteArray bytes;
+  beast::http::request_serializer<beast::http::string_body> serializer(message);
+  beast::error_code error;
+  while (!serializer.is_done()) {
+    serializer.next(error, [&](beast::error_code&, const auto& buffers) {
+      for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers)) {
+        bytes.append(static_cast<const char*>(buffer.data()),
+                     static_cast<qsizetype>(buffer.size()));
+      }
+      serializer.consume(asio::buffer_size(buffers));
+    });
+    if (error) break;
+  }
+  return bytes;
+}
+
+Response TakeResponse(Parser& parser) {
+  Response response;
+  auto message = parser.release();
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  response.body = QByteArray::fromStdString(message.body());
+  return response;
+}
+
+/// Feeds received bytes to the parser and tells how far the response has come.
+class ResponseReader {
+ public:
+  ResponseReader(bool expects_body, qint64 max_bytes) {
+    m_parser.header_limit(kMaxHeaderBytes);
+    m_parser.body_limit(static_cast<uint64_t>(max_bytes));
+    m_parser.skip(!expects_body);
+    m_parser.eager(true);
+  }
+
+  /// @return the end of the exchange, or nothing while more bytes are needed.
+  std::optional<ExchangeEnd> Read(QByteArrayView received) {
+    m_received_any |= !received.empty();
+    m_buffer.append(received);
+    while (!m_parser.is_done() && !m_buffer.isEmpty()) {
+      beast::error_code error;
+      const size_t used = m_parser.put(
+          asio::buffer(m_buffer.constData(), static_cast<size_t>(m_buffer.size())), error);
+      m_buffer.remove(0, static_cast<qsizetype>(used));
+      if (error == beast::http::error::need_more) break;
+      if (error == beast::http::error::body_limit) return ExchangeEnd::kTooLarge;
+      if (error) return ExchangeEnd::kMalformed;
+      if (used == 0) break;
+    }
+    if (!m_parser.is_done()) return std::nullopt;
+    return ExchangeEnd::kComplete;
+  }
+
+  ExchangeEnd ReadEnd() {
+    if (!m_received_any) return ExchangeEnd::kClosedIdle;
+    beast::error_code error;
+    if (m_parser.got_some()) m_parser.put_eof(error);
+    return !error && m_parser.is_done() ? ExchangeEnd::kComplete : ExchangeEnd::kClosed;
+  }
+
+  bool keep_alive() const { return m_parser.is_done() && m_parser.keep_alive(); }
+  Response Take() { return TakeResponse(m_parser); }
+
+ private:
+  Parser m_parser;
+  QByteArray m_buffer;  // Bytes that the parser has not consumed yet.
+  bool m_received_any = false;
+};
+
+std::unique_ptr<QTcpSocket> OpenSocket(const ClientOptions& options, const QUrl& url) {
+  const auto port = static_cast<quint16>(url.port(options.tls ? 443 : 80));
+  if (options.tls) {
+    auto socket = std::make_unique<QSslSocket>();
+    socket->setSslConfiguration(*options.tls);
+    socket->connectToHostEncrypted(url.host(), port);
+    return socket;
+  }
+  auto socket = std::make_unique<QTcpSocket>();
+  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  socket->connectToHost(QHostAddress(url.host()), port);
+  return socket;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(const ClientOptions& options, uint64_t generation)
+    : m_options(options), m_generation(generation) {}
+
+ClientConnection::~ClientConnection() {
+  if (!m_socket) return;
+  m_socket->disconnect();
+  m_socket->abort();
+  // The connection may end inside a slot of its socket.
+  m_socket.release()->deleteLater();
+}
+
+bool ClientConnection::reusable() const {
+  return m_socket && m_keep_alive && m_socket->state() == QAbstractSocket::ConnectedState &&
+         m_socket->bytesAvailable() == 0;
+}
+
+QCoro::Task<ExchangeResult> ClientConnection::Exchange(const QUrl& url,
+                                                       const ClientRequest& request,
+                                                       Duration timeout) {
+  OneShot<ExchangeEnd> end;
+  ResponseReader reader(request.method != "HEAD", m_options.max_response_bytes);
+  if (!m_socket) m_socket = OpenSocket(m_options, url);
+  QTcpSocket* socket = m_socket.get();
+  bool sent = false;
+  const bool keep_alive = request.idempotency == Idempotency::kIdempotent;
+  const auto send = [&] {
+    sent = true;
+    socket->write(Serialize(url, request, keep_alive));
+  };
+
+  QObject context;
+  QObject::connect(socket, &QIODevice::readyRead, &context, [&] {
+    if (const auto outcome = reader.Read(socket->readAll())) end.Set(*outcome);
+  });
+  const auto finish = [&] { end.Set(sent ? reader.ReadEnd() : ExchangeEnd::kNotSent); };
+  QObject::connect(socket, &QAbstractSocket::disconnected, &context, finish);
+  QObject::connect(socket, &QAbstractSocket::errorOccurred, &context, finish);
+  if (m_options.tls && !m_used) {
+    QObject::connect(static_cast<QSslSocket*>(socket), &QSslSocket::encrypted, &context, send);
+  } else if (socket->state() == QAbstractSocket::ConnectedState) {
+    send();
+  } else {
+    QObject::connect(socket, &QAbstractSocket::connected, &context, send);
+  }
+  QTimer timer;
+  timer.setSingleShot(true);
+  QObject::connect(&timer, &QTimer::timeout, [&] {
+    end.Set(sent ? ExchangeEnd::kTimedOut : ExchangeEnd::kNotSent);
+  });
+  timer.start(std::chrono::ceil<std::chrono::milliseconds>(timeout));
+  Subscription abort;
+  if (request.abort) {
+    abort = request.abort->Subscribe([&] { end.Set(ExchangeEnd::kAborted); });
+  }
+
+  ExchangeResult result;
+  result.end = co_await end.Wait();
+  m_used = true;
+  m_keep_alive = result.end == ExchangeEnd::kComplete && keep_alive && reader.keep_alive();
+  if (result.end == ExchangeEnd::kComplete) {
+    result.response = reader.Take();
+  } else {
+    result.error = socket->errorString().toStdString();
+  }
+  co_return result;
+}
+
+}  // namespace citronferry::http
--- a/src/node/admin/internal/status.cc
+++ b/src/node/admin/internal/status.cc
@@ -51,7 +51,7 @@
     int instances = 0;
     int live = 0;
     int free_slots = 0;
-    for (const platform::InstanceInfo& instance : fleet.instances) {
+    for (const provider::InstanceInfo& instance : fleet.instances) {
       const auto ownership = fleet.ownership.find(instance.id);
       const auto in_service = serving.find(instance.id);
       const bool is_serving = in_service != serving.end() && in_service->second == pool.name;
@@ -59,7 +59,7 @@
           ownership == fleet.ownership.end() ? is_serving : ownership->second.pool == pool.name;
       if (instance.is_entry || !owned) continue;
       ++instances;
-      if (!is_serving || instance.state != platform::InstanceState::kLive) continue;
+      if (!is_serving || instance.state != provider::InstanceState::kLive) continue;
       ++live;
       const auto free = load.free_slots.find(instance.id);
       if (free != load.free_slots.end()) free_slots += std::max(0, free->second);
--- a/src/node/admin/tests/status_test.cc
+++ b/src/node/admin/tests/status_test.cc
@@ -21,7 +21,7 @@
   document::Settings m_settings;
   ManualTimerService m_timers;
   Metrics m_metrics;
-  platform::PlatformModule m_platform{{.url = "http://127.0.0.1:1", .token = "platform-secret"}};
+  provider::ProviderModule m_platform{{.url = "http://127.0.0.1:1", .token = "platform-secret"}};
   NodeContext m_context{.settings = m_settings,
                         .timers = m_timers,
                         .metrics = m_metrics,
--- a/src/node/configuration/internal/configuration_watcher.cc
+++ b/src/node/configuration/internal/configuration_watcher.cc
@@ -59,7 +59,7 @@
 
  private:
   QCoro::Task<void> PollOnce() {
-    platform::RowKey key{.table = kConfigTable, .key = m_context.settings.environment};
+    provider::RowKey key{.table = kConfigTable, .key = m_context.settings.environment};
     const auto row = co_await m_context.platform.tables().Get(std::move(key));
     if (row.ok() || row.code() == ErrorCode::kNotFound) {
       m_context.store_read = m_context.timers.Now();
--- a/src/node/fleet/internal/fleet_watcher.cc
+++ b/src/node/fleet/internal/fleet_watcher.cc
@@ -12,7 +12,7 @@
 constexpr Duration kPollPeriod = 1s;
 
 /// A row that can not be read serves nothing.
-InstanceOwnership ParseOwnership(const platform::Row& row) {
+InstanceOwnership ParseOwnership(const provider::Row& row) {
   const auto content = DecodeInstanceRow(row.value);
   if (!content) {
     Log(LogLevel::kError, "ownership_row_invalid", {{"instance", row.key}});
@@ -77,7 +77,7 @@
     const auto changes =
         co_await m_context.platform.tables().Changes(kInstancesTable, view.ownership_sequence);
     if (!changes.ok()) co_return false;
-    for (const platform::Row& row : changes->rows) {
+    for (const provider::Row& row : changes->rows) {
       const InstanceId id(row.key);
       if (row.deleted) {
         view.ownership.erase(id);
--- a/src/node/gateway/answer_record.h
+++ b/src/node/gateway/answer_record.h
@@ -11,7 +11,7 @@
 #include "http/message.h"
 #include "node/gateway/work_runner.h"
 #include "node/qt_text.h"
-#include "platform/object_store.h"
+#include "provider/object_store.h"
 
 namespace citronferry::node {
 
@@ -37,9 +37,9 @@
   std::string object;  ///< Key in the object store, or empty.
 };
 /// Writes a large body to the object store, under its digest.
-QCoro::Task<RetVal<StoredBody>> StoreBody(platform::ObjectStore& objects, std::string body);
+QCoro::Task<RetVal<StoredBody>> StoreBody(provider::ObjectStore& objects, std::string body);
 /// @return the whole body.
-QCoro::Task<RetVal<std::string>> LoadBody(platform::ObjectStore& objects, StoredBody stored);
+QCoro::Task<RetVal<std::string>> LoadBody(provider::ObjectStore& objects, StoredBody stored);
 
 /// @return the answer to record for work that has ended.
 requests::Answer MakeAnswer(const WorkResult& result);
--- a/src/node/gateway/internal/answer_record.cc
+++ b/src/node/gateway/internal/answer_record.cc
@@ -79,7 +79,7 @@
           .incarnation = TextMember(json, "incarnation")};
 }
 
-QCoro::Task<RetVal<StoredBody>> StoreBody(platform::ObjectStore& objects, std::string body) {
+QCoro::Task<RetVal<StoredBody>> StoreBody(provider::ObjectStore& objects, std::string body) {
   if (body.size() <= kMaxInlineBodyBytes) co_return StoredBody{.body = std::move(body)};
   StoredBody stored{.object = Sha256Hex(body)};
   Ret written = co_await objects.Put(stored.object, std::move(body));
@@ -87,7 +87,7 @@
   co_return stored;
 }
 
-QCoro::Task<RetVal<std::string>> LoadBody(platform::ObjectStore& objects, StoredBody stored) {
+QCoro::Task<RetVal<std::string>> LoadBody(provider::ObjectStore& objects, StoredBody stored) {
   if (stored.object.empty()) co_return std::move(stored.body);
   co_return co_await objects.Get(stored.object);
 }
--- a/src/node/gateway/internal/executor_client.cc
+++ b/src/node/gateway/internal/executor_client.cc
@@ -44,7 +44,7 @@
   const FleetView& fleet = m_context.fleet.Get();
   const auto instance =
       std::find_if(fleet.instances.begin(), fleet.instances.end(),
-                   [&](const platform::InstanceInfo& info) { return info.id == attempt.executor; });
+                   [&](const provider::InstanceInfo& info) { return info.id == attempt.executor; });
   if (instance == fleet.instances.end()) {
     co_return AttemptResult{.outcome = AttemptOutcome::kNotRun, .detail = "executor has gone"};
   }
--- a/src/node/gateway/internal/policy.cc
+++ b/src/node/gateway/internal/policy.cc
@@ -54,13 +54,13 @@
   for (const RosterEntry& entry : context.roster.Get().entries) roster.push_back(entry.id);
   const std::map<InstanceId, PoolName> pools = PoolsInService(context);
   std::vector<dispatch::ExecutorState> executors;
-  for (const platform::InstanceInfo& instance : context.fleet.Get().instances) {
+  for (const provider::InstanceInfo& instance : context.fleet.Get().instances) {
     const auto pool = pools.find(instance.id);
     if (instance.is_entry || pool == pools.end() || pool->second.empty()) continue;
     executors.push_back({.id = instance.id,
                          .pool = pool->second,
                          .slots = OwnSlots(context, roster, instance.id),
-                         .leaving = instance.state == platform::InstanceState::kLeaving});
+                         .leaving = instance.state == provider::InstanceState::kLeaving});
   }
   return executors;
 }
--- a/src/node/gateway/internal/request_ledger.cc
+++ b/src/node/gateway/internal/request_ledger.cc
@@ -67,7 +67,7 @@
 }
 
 QCoro::Task<requests::RowRead> RequestLedger::Read(std::string key) {
-  const platform::RowKey row_key{.table = kRequestsTable, .key = std::move(key)};
+  const provider::RowKey row_key{.table = kRequestsTable, .key = std::move(key)};
   const auto row = co_await m_tables.Get(row_key);
   if (!row.ok()) co_return requests::RowRead{.code = row.code()};
   auto record = Decode(row->value);
@@ -81,8 +81,8 @@
 
 QCoro::Task<requests::ClaimWritten> RequestLedger::Write(std::string key, requests::Record record,
                                                          std::optional<uint64_t> expected_version) {
-  const platform::RowKey row_key{.table = kRequestsTable, .key = std::move(key)};
-  RetVal<platform::Row> row = Ret(ErrorCode::kInternal, {});
+  const provider::RowKey row_key{.table = kRequestsTable, .key = std::move(key)};
+  RetVal<provider::Row> row = Ret(ErrorCode::kInternal, {});
   if (expected_version) {
     row = co_await m_tables.Update(row_key, Encode(record), *expected_version);
   } else {
--- a/src/node/gateway/internal/request_ledger.h
+++ b/src/node/gateway/internal/request_ledger.h
@@ -15,8 +15,8 @@
 /// Reads and writes the rows of the request ledger.
 class RequestLedger {
  public:
-  RequestLedger(NodeContext& context, platform::TableService& tables,
-                platform::ObjectStore& objects)
+  RequestLedger(NodeContext& context, provider::TableService& tables,
+                provider::ObjectStore& objects)
       : m_context(context), m_tables(tables), m_objects(objects) {}
 
   /// @return a new claim of this entry with a random token.
@@ -44,8 +44,8 @@
   bool IsHolderGone(const requests::Holder& holder) const;
 
   NodeContext& m_context;
-  platform::TableService& m_tables;
-  platform::ObjectStore& m_objects;
+  provider::TableService& m_tables;
+  provider::ObjectStore& m_objects;
   requests::ClaimObserver m_observer;
   TaskScope m_settlements;
   StopSignal m_stop;
--- a/src/node/gateway/tests/faulty_platform.h
+++ b/src/node/gateway/tests/faulty_platform.h
@@ -5,8 +5,8 @@
 #include <map>
 #include <string>
 
-#include "platform/object_store.h"
-#include "platform/table_service.h"
+#include "provider/object_store.h"
+#include "provider/table_service.h"
 #include "supervision/awaitables.h"
 
 namespace citronferry::testing {
@@ -21,13 +21,13 @@
 
 /// Rows that all entries of a test share.
 struct SharedTables {
-  std::map<platform::RowKey, platform::Row> rows;
+  std::map<provider::RowKey, provider::Row> rows;
   std::map<std::string, std::string> objects;
   uint64_t sequence = 0;
   std::vector<std::function<void()>> delayed;
   int rewritten_ends = 0;  ///< Writes over rows that had ended for good.
 
-  RetVal<platform::Row> Put(const platform::RowKey& key, std::string value, uint64_t expected) {
+  RetVal<provider::Row> Put(const provider::RowKey& key, std::string value, uint64_t expected) {
     const auto found = rows.find(key);
     const uint64_t version = found == rows.end() ? 0 : found->second.version;
     if (version != expected) return Ret(ErrorCode::kConflict, "version");
@@ -43,7 +43,7 @@
 };
 
 /// One entry's view of the platform, with faults.
-class FaultyPlatform : public platform::TableService, public platform::ObjectStore {
+class FaultyPlatform : public provider::TableService, public provider::ObjectStore {
  public:
   FaultyPlatform(SharedTables& shared, TimerService& timers) : m_shared(shared), m_timers(timers) {}
 
@@ -51,18 +51,18 @@
   std::function<Fault(bool is_write)> fault = [](bool) { return Fault::kNone; };
   Duration delay{};  ///< Added after each write took effect and before its answer.
 
-  QCoro::Task<RetVal<platform::Row>> Get(platform::RowKey key) override {
+  QCoro::Task<RetVal<provider::Row>> Get(provider::RowKey key) override {
     if (Next(false) != Fault::kNone) co_return Unavailable();
     const auto found = m_shared.rows.find(key);
     if (found == m_shared.rows.end()) co_return Ret(ErrorCode::kNotFound, "no row");
     // QCoro moves out of an lvalue that is converted to the result type.
-    platform::Row row = found->second;
+    provider::Row row = found->second;
     co_return row;
   }
-  QCoro::Task<RetVal<platform::Row>> Create(platform::RowKey key, std::string value) override {
+  QCoro::Task<RetVal<provider::Row>> Create(provider::RowKey key, std::string value) override {
     co_return co_await Update(std::move(key), std::move(value), 0);
   }
-  QCoro::Task<RetVal<platform::Row>> Update(platform::RowKey key, std::string value,
+  QCoro::Task<RetVal<provider::Row>> Update(provider::RowKey key, std::string value,
                                             uint64_t expected) override {
     const Fault chosen = Next(true);
     if (chosen == Fault::kUnavailable) co_return Unavailable();
@@ -78,12 +78,12 @@
     if (chosen == Fault::kAnswerLost) co_return lost;
     co_return written;
   }
-  QCoro::Task<Ret> Delete(platform::RowKey, uint64_t) override {
+  QCoro::Task<Ret> Delete(provider::RowKey, uint64_t) override {
     co_return Ret(ErrorCode::kUnavailable, "not used");
   }
-  QCoro::Task<RetVal<platform::ChangeBatch>> Changes(std::string table, uint64_t after) override {
+  QCoro::Task<RetVal<provider::ChangeBatch>> Changes(std::string table, uint64_t after) override {
     if (Next(false) != Fault::kNone) co_return Unavailable();
-    platform::ChangeBatch batch{.last_sequence = m_shared.sequence};
+    provider::ChangeBatch batch{.last_sequence = m_shared.sequence};
     for (const auto& [key, row] : m_shared.rows) {
       if (key.table == table && row.sequence > after) batch.rows.push_back(row);
     }
--- a/src/node/gateway/tests/gateway_test.cc
+++ b/src/node/gateway/tests/gateway_test.cc
@@ -153,7 +153,7 @@
   std::unique_ptr<TimerService> m_timers = MakeQtTimerService();
   document::Settings m_settings{.id = EntryId("e1")};
   Metrics m_metrics;
-  platform::PlatformModule m_unused{{.url = "http://127.0.0.1:1"}};
+  provider::ProviderModule m_unused{{.url = "http://127.0.0.1:1"}};
   std::unique_ptr<NodeContext> m_context{new NodeContext{.settings = m_settings,
                                                          .timers = *m_timers,
                                                          .metrics = m_metrics,
--- a/src/node/internal/node.cc
+++ b/src/node/internal/node.cc
@@ -57,7 +57,7 @@
 Ret RunNode(const document::Settings& settings) {
   const std::unique_ptr<TimerService> timers = MakeQtTimerService();
   Metrics metrics;
-  platform::PlatformModule platform(
+  provider::ProviderModule platform(
       {.url = settings.platform_url, .token = ReadTokenFile(settings.platform_token_file)});
   NodeContext context{.settings = settings,
                       .timers = *timers,
--- a/src/node/jobs/internal/job_store.cc
+++ b/src/node/jobs/internal/job_store.cc
@@ -61,9 +61,9 @@
                    .answer = DecodeAnswer(json.value(QLatin1String("answer")).toObject())};
 }
 
-platform::RowKey KeyOf(const JobId& id) { return {.table = kJobsTable, .key = id.str()}; }
+provider::RowKey KeyOf(const JobId& id) { return {.table = kJobsTable, .key = id.str()}; }
 
-RetVal<jobs::JobRow> ToJobRow(const platform::Row& row) {
+RetVal<jobs::JobRow> ToJobRow(const provider::Row& row) {
   auto job = Decode(row.value);
   if (!job) {
     Log(LogLevel::kError, "job_row_invalid", {{"job", row.key}});
@@ -84,7 +84,7 @@
   job.body = stored->body;
   job.object = stored->object;
   job.write_id = RandomToken();
-  platform::RowKey key = KeyOf(id);
+  provider::RowKey key = KeyOf(id);
   const auto created = co_await m_tables.Create(std::move(key), Encode(job));
   if (created.ok()) {
     co_return jobs::JobRow{.id = id, .job = std::move(job), .version = created->version};
@@ -97,7 +97,7 @@
 }
 
 QCoro::Task<RetVal<jobs::JobRow>> JobStore::Read(JobId id) {
-  platform::RowKey key = KeyOf(id);
+  provider::RowKey key = KeyOf(id);
   const auto row = co_await m_tables.Get(std::move(key));
   if (!row.ok()) co_return row.ret();
   co_return ToJobRow(row.value());
@@ -105,7 +105,7 @@
 
 QCoro::Task<RetVal<jobs::JobRow>> JobStore::Replace(jobs::JobRow row, jobs::Job job) {
   job.write_id = RandomToken();
-  platform::RowKey key = KeyOf(row.id);
+  provider::RowKey key = KeyOf(row.id);
   const auto written = co_await m_tables.Update(std::move(key), Encode(job), row.version);
   if (written.ok()) {
     co_return jobs::JobRow{.id = row.id, .job = std::move(job), .version = written->version};
@@ -126,7 +126,7 @@
   const auto batch = co_await m_tables.Changes(kJobsTable, after);
   if (!batch.ok()) co_return batch.ret();
   JobChanges changes{.last_sequence = batch->last_sequence};
-  for (const platform::Row& row : batch->rows) {
+  for (const provider::Row& row : batch->rows) {
     if (row.deleted) {
       changes.rows.push_back({.id = JobId(row.key), .deleted = true});
       continue;
--- a/src/node/jobs/internal/jobs_service.cc
+++ b/src/node/jobs/internal/jobs_service.cc
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-JobsService::JobsService(NodeContext& context, platform::TableService& tables,
-                         platform::ObjectStore& objects)
+JobsService::JobsService(NodeContext& context, provider::TableService& tables,
+                         provider::ObjectStore& objects)
     : m_context(context), m_store(tables, objects), m_board(context.settings.id) {
   m_subscriptions.push_back(
       context.configuration.Subscribe([this](const auto&) { UpdateQueues(); }));
--- a/src/node/jobs/internal/jobs_service.h
+++ b/src/node/jobs/internal/jobs_service.h
@@ -11,7 +11,7 @@
 /// Follows the change feed of the jobs and runs those that the board decides to try.
 class JobsService : public Service {
  public:
-  JobsService(NodeContext& context, platform::TableService& tables, platform::ObjectStore& objects);
+  JobsService(NodeContext& context, provider::TableService& tables, provider::ObjectStore& objects);
 
   QCoro::Task<Ret> Run() override;
   void Stop() override { m_stop.Request(); }
--- a/src/node/jobs/job_store.h
+++ b/src/node/jobs/job_store.h
@@ -17,7 +17,7 @@
 /// Reads and writes the rows of durable jobs.
 class JobStore {
  public:
-  JobStore(platform::TableService& tables, platform::ObjectStore& objects)
+  JobStore(provider::TableService& tables, provider::ObjectStore& objects)
       : m_tables(tables), m_objects(objects) {}
 
   /// @return the identifier of a job, the same for each repetition of its request.
@@ -42,8 +42,8 @@
   QCoro::Task<RetVal<requests::Answer>> LoadAnswer(requests::Answer answer);
 
  private:
-  platform::TableService& m_tables;
-  platform::ObjectStore& m_objects;
+  provider::TableService& m_tables;
+  provider::ObjectStore& m_objects;
 };
 
 }  // namespace citronferry::node
--- a/src/node/jobs/tests/jobs_service_test.cc
+++ b/src/node/jobs/tests/jobs_service_test.cc
@@ -62,7 +62,7 @@
 
   document::Settings settings;
   Metrics metrics;
-  platform::PlatformModule unused{{.url = "http://127.0.0.1:1"}};
+  provider::ProviderModule unused{{.url = "http://127.0.0.1:1"}};
   FaultyPlatform platform;
   CountingRunner runner;
   std::unique_ptr<NodeContext> context;
--- a/src/node/membership/internal/loan_messages.cc
+++ b/src/node/membership/internal/loan_messages.cc
@@ -81,10 +81,10 @@
     if (pool != pools.end()) item.pool = pool->second;
   }
   // A leaving instance receives no new work, so its slots are of no use to a borrower.
-  for (const platform::InstanceInfo& instance : context.fleet.Get().instances) {
+  for (const provider::InstanceInfo& instance : context.fleet.Get().instances) {
     const auto item = observed.instances.find(instance.id);
     if (item == observed.instances.end()) continue;
-    if (instance.state == platform::InstanceState::kLeaving) item->second.pool = PoolName();
+    if (instance.state == provider::InstanceState::kLeaving) item->second.pool = PoolName();
   }
   const std::map<PoolName, Duration> deadlines = LongestDeadlines(*document);
   for (const auto& [pool, waiting] : load.waiting) {
--- a/src/node/membership/internal/roster_service.cc
+++ b/src/node/membership/internal/roster_service.cc
@@ -14,9 +14,9 @@
 constexpr Duration kRefreshPeriod = 10s;
 constexpr char kEntriesTable[] = "entries";
 
-std::set<EntryId> ListedEntries(const std::vector<platform::InstanceInfo>& instances) {
+std::set<EntryId> ListedEntries(const std::vector<provider::InstanceInfo>& instances) {
   std::set<EntryId> entries;
-  for (const platform::InstanceInfo& instance : instances) {
+  for (const provider::InstanceInfo& instance : instances) {
     if (instance.is_entry) entries.insert(EntryId(instance.id.view()));
   }
   return entries;
@@ -91,8 +91,8 @@
   const TimePoint now = m_context.timers.Now();
   const bool fresh = m_own_version > 0 && now - m_written_at < kRefreshPeriod;
   if (fresh && compared == m_written && ownership == m_written_ownership) co_return;
-  platform::TableService& tables = m_context.platform.tables();
-  RetVal<platform::Row> written = Ret(ErrorCode::kInternal, "not written");
+  provider::TableService& tables = m_context.platform.tables();
+  RetVal<provider::Row> written = Ret(ErrorCode::kInternal, "not written");
   if (m_own_version > 0) {
     written = co_await tables.Update(m_own_key, value, m_own_version);
   } else {
@@ -150,7 +150,7 @@
   m_context.store_read = m_context.timers.Now();
   // A store that returns with older data has nothing new to say.
   if (changes->last_sequence < m_sequence) co_return;
-  for (const platform::Row& row : changes->rows) {
+  for (const provider::Row& row : changes->rows) {
     const EntryId id(row.key);
     const bool own = id == m_context.settings.id;
     if (row.deleted) {
@@ -186,7 +186,7 @@
   for (const EntryId& id : gone) {
     const auto row = m_rows.find(id);
     if (row == m_rows.end() || id == m_context.settings.id) continue;
-    platform::RowKey key{.table = kEntriesTable, .key = id.str()};
+    provider::RowKey key{.table = kEntriesTable, .key = id.str()};
     const Ret removed =
         co_await m_context.platform.tables().Delete(std::move(key), row->second.version);
     if (removed.ok()) Log(LogLevel::kWarning, "entry_removed", {{"entry", id.view()}});
--- a/src/node/membership/internal/roster_service.h
+++ b/src/node/membership/internal/roster_service.h
@@ -43,7 +43,7 @@
   NodeContext& m_context;
   std::shared_ptr<const PeerEndpoint> m_endpoint;
   prometheus::Gauge& m_size;
-  platform::RowKey m_own_key;
+  provider::RowKey m_own_key;
   bool m_own_known = false;         // Whether m_own_version is what the table has.
   uint64_t m_own_version = 0;       // 0 when there is no row.
   bool m_registered = false;        // This incarnation has written the row.
--- a/src/node/membership/tests/entries_test.cc
+++ b/src/node/membership/tests/entries_test.cc
@@ -75,7 +75,7 @@
   }
 
   document::Settings m_settings;
-  platform::PlatformModule m_platform;
+  provider::ProviderModule m_platform;
 
  public:
   Metrics metrics;
@@ -99,7 +99,7 @@
     EXPECT_TRUE(m_server->Listen().ok());
     m_url = "http://127.0.0.1:" + std::to_string(m_server->port());
     m_tasks.Spawn([this]() -> QCoro::Task<void> { static_cast<void>(co_await m_server->Run()); });
-    m_client = std::make_unique<platform::PlatformModule>(platform::PlatformOptions{.url = m_url});
+    m_client = std::make_unique<provider::ProviderModule>(provider::ProviderOptions{.url = m_url});
   }
   ~EntriesTest() override {
     m_server->Stop();
@@ -125,7 +125,7 @@
       EXPECT_TRUE(stored.ok());
       const std::string value =
           "{\"version\":" + std::to_string(version) + ",\"digest\":\"" + digest + "\"}";
-      const platform::RowKey key{.table = "config", .key = "trial"};
+      const provider::RowKey key{.table = "config", .key = "trial"};
       const auto current = co_await m_client->tables().Get(key);
       if (current.ok()) {
         const auto row = co_await m_client->tables().Update(key, value, current->version);
@@ -141,7 +141,7 @@
   std::optional<RosterEntry> ReadRow(std::string id) {
     std::optional<RosterEntry> entry;
     Await([this, id, &entry]() -> QCoro::Task<void> {
-      const platform::RowKey key{.table = "entries", .key = id};
+      const provider::RowKey key{.table = "entries", .key = id};
       const auto row = co_await m_client->tables().Get(key);
       if (row.ok()) entry = DecodeRosterRow(row->key, row->value);
     });
@@ -151,7 +151,7 @@
   std::unique_ptr<TimerService> m_timers;
   std::unique_ptr<standin::PlatformStandin> m_standin;
   std::unique_ptr<http::Server> m_server;
-  std::unique_ptr<platform::PlatformModule> m_client;
+  std::unique_ptr<provider::ProviderModule> m_client;
   std::string m_url;
   TaskScope m_tasks;
 };
@@ -163,7 +163,7 @@
   const auto a = Start("a");
   Entry b(*m_timers, "b", kNoPlatform);
   Await([&]() -> QCoro::Task<void> {
-    const platform::RowKey key{.table = "entries", .key = "b"};
+    const provider::RowKey key{.table = "entries", .key = "b"};
     const std::string value = EncodeRosterRow(b.roster_entry());
     const auto row = co_await m_client->tables().Create(key, value);
     EXPECT_TRUE(row.ok());
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -16,7 +16,7 @@
 
 #include "document/document.h"
 #include "document/settings.h"
-#include "platform/platform_module.h"
+#include "provider/provider_module.h"
 #include "supervision/observable.h"
 #include "supervision/timer_service.h"
 #include "telemetry/metrics.h"
@@ -42,7 +42,7 @@
 
 /// The instances as this entry knows them.
 struct FleetView {
-  std::vector<platform::InstanceInfo> instances;
+  std::vector<provider::InstanceInfo> instances;
   std::map<InstanceId, InstanceOwnership> ownership;
   uint64_t ownership_sequence = 0;  ///< Change-feed position up to which ownership is known.
 };
@@ -120,7 +120,7 @@
   const document::Settings& settings;
   TimerService& timers;
   Metrics& metrics;
-  platform::PlatformModule& platform;
+  provider::ProviderModule& platform;
   std::string incarnation;
 
   Observable<ActiveConfiguration> configuration;  ///< Set by the configuration watcher.
--- a/src/node/planner/internal/planner_service.cc
+++ b/src/node/planner/internal/planner_service.cc
@@ -37,8 +37,8 @@
 
 }  // namespace
 
-PlannerService::PlannerService(NodeContext& context, platform::TableService& tables,
-                               platform::InstanceService& instances)
+PlannerService::PlannerService(NodeContext& context, provider::TableService& tables,
+                               provider::InstanceService& instances)
     : m_context(context),
       m_tables(tables),
       m_instances(instances),
@@ -74,7 +74,7 @@
 }
 
 QCoro::Task<leadership::Event> PlannerService::ReadLease(leadership::Action) {
-  platform::RowKey key{.table = kLeasesTable, .key = kPlannerLease};
+  provider::RowKey key{.table = kLeasesTable, .key = kPlannerLease};
   const auto row = co_await m_tables.Get(std::move(key));
   leadership::Event event = leadership::ReadFailed{};
   if (row.ok()) {
@@ -89,7 +89,7 @@
 
 QCoro::Task<leadership::Event> PlannerService::WriteLease(leadership::Action action) {
   const auto write = std::get<leadership::WriteRow>(std::move(action));
-  platform::RowKey key{.table = kLeasesTable, .key = kPlannerLease};
+  provider::RowKey key{.table = kLeasesTable, .key = kPlannerLease};
   std::string value = EncodeLeaseRow(write.row);
   const auto row = co_await Write(std::move(key), std::move(value), write.expected_version);
   leadership::Event event = leadership::WriteUnconfirmed{};
@@ -141,7 +141,7 @@
 QCoro::Task<bool> PlannerService::ObserveInstanceRows() {
   const auto changes = co_await m_tables.Changes(kInstancesTable, m_instances_sequence);
   if (!changes.ok()) co_return false;
-  for (const platform::Row& row : changes->rows) {
+  for (const provider::Row& row : changes->rows) {
     ownership::RowObserved observed{
         .id = InstanceId(row.key), .version = row.version, .sequence = row.sequence};
     if (!row.deleted) observed.row = DecodeInstanceRow(row.value);
@@ -154,7 +154,7 @@
 QCoro::Task<bool> PlannerService::ObservePoolRows() {
   const auto changes = co_await m_tables.Changes(kPoolsTable, m_pools_sequence);
   if (!changes.ok()) co_return false;
-  for (const platform::Row& row : changes->rows) {
+  for (const provider::Row& row : changes->rows) {
     maintenance::PoolObserved observed{.pool = PoolName(row.key), .version = row.version};
     if (!row.deleted) observed.row = DecodePoolRow(row.value);
     if (!row.deleted && !observed.row) {
@@ -172,7 +172,7 @@
   ownership::RosterObserved roster{.read_started = m_context.timers.Now()};
   const auto changes = co_await m_tables.Changes(kEntriesTable, m_entries_sequence);
   if (!changes.ok()) co_return false;
-  for (const platform::Row& row : changes->rows) {
+  for (const provider::Row& row : changes->rows) {
     if (row.deleted) {
       m_entries.erase(EntryId(row.key));
     } else {
@@ -226,7 +226,7 @@
 
 QCoro::Task<void> PlannerService::WritePool(PlanningAction action) {
   const auto write = std::get<maintenance::WritePool>(std::move(action));
-  platform::RowKey key{.table = kPoolsTable, .key = write.pool.str()};
+  provider::RowKey key{.table = kPoolsTable, .key = write.pool.str()};
   std::string value = EncodePoolRow(write.row);
   const auto row = co_await Write(std::move(key), std::move(value), write.expected_version);
   if (!row.ok()) co_return;
@@ -237,7 +237,7 @@
 
 QCoro::Task<void> PlannerService::WriteInstance(PlanningAction action) {
   const auto write = std::get<ownership::WriteInstance>(std::move(action));
-  platform::RowKey key{.table = kInstancesTable, .key = write.id.str()};
+  provider::RowKey key{.table = kInstancesTable, .key = write.id.str()};
   std::string value = EncodeInstanceRow(write.row);
   const auto row = co_await Write(std::move(key), std::move(value), write.expected_version);
   if (!row.ok()) co_return;
@@ -264,10 +264,10 @@
   co_return;
 }
 
-QCoro::Task<RetVal<platform::Row>> PlannerService::Write(platform::RowKey key, std::string value,
+QCoro::Task<RetVal<provider::Row>> PlannerService::Write(provider::RowKey key, std::string value,
                                                          std::optional<uint64_t> expected_version) {
   const std::string name = key.table + "/" + key.key;
-  RetVal<platform::Row> row = Ret(ErrorCode::kInternal, "not written");
+  RetVal<provider::Row> row = Ret(ErrorCode::kInternal, "not written");
   if (expected_version) {
     row = co_await m_tables.Update(std::move(key), std::move(value), *expected_version);
   } else {
--- a/src/node/planner/internal/planner_service.h
+++ b/src/node/planner/internal/planner_service.h
@@ -16,8 +16,8 @@
 /// the decisions ask for. Only the holder reads and writes rows besides the lease.
 class PlannerService : public Service {
  public:
-  PlannerService(NodeContext& context, platform::TableService& tables,
-                 platform::InstanceService& instances);
+  PlannerService(NodeContext& context, provider::TableService& tables,
+                 provider::InstanceService& instances);
 
   QCoro::Task<Ret> Run() override;
   void Stop() override { m_stop.Request(); }
@@ -41,15 +41,15 @@
   QCoro::Task<void> Reboot(PlanningAction action);
   QCoro::Task<void> ReportFailed(PlanningAction action);
   /// Writes a row on condition; a write that was not confirmed is seen in the next change feed.
-  QCoro::Task<RetVal<platform::Row>> Write(platform::RowKey key, std::string value,
+  QCoro::Task<RetVal<provider::Row>> Write(provider::RowKey key, std::string value,
                                            std::optional<uint64_t> expected_version);
 
   bool MayAct() const { return m_lease.MayAct(m_context.timers.Now()); }
   void PublishStatus();
 
   NodeContext& m_context;
-  platform::TableService& m_tables;
-  platform::InstanceService& m_instances;
+  provider::TableService& m_tables;
+  provider::InstanceService& m_instances;
   StopSignal m_stop;
   leadership::Lease m_lease;
   Planning m_planning;
--- a/src/node/planner/internal/planning.cc
+++ b/src/node/planner/internal/planning.cc
@@ -61,12 +61,12 @@
   return conflicts;
 }
 
-void Planning::Observe(std::span<const platform::InstanceInfo> list, TimePoint read_started,
+void Planning::Observe(std::span<const provider::InstanceInfo> list, TimePoint read_started,
                        TimePoint now) {
   ownership::ListObserved observed{.read_started = read_started};
   for (auto& [id, location] : m_locations) location.live = false;
-  for (const platform::InstanceInfo& info : list) {
-    const bool live = info.state == platform::InstanceState::kLive;
+  for (const provider::InstanceInfo& info : list) {
+    const bool live = info.state == provider::InstanceState::kLive;
     observed.instances.push_back({.id = info.id, .live = live});
     m_locations[info.id] = {.rack = info.rack, .data_centre = info.data_centre, .live = live};
   }
--- a/src/node/planner/internal/planning.h
+++ b/src/node/planner/internal/planning.h
@@ -9,7 +9,7 @@
 #include "decisions/maintenance/maintenance.h"
 #include "decisions/ownership/ownership.h"
 #include "document/document.h"
-#include "platform/instance_service.h"
+#include "provider/instance_service.h"
 
 namespace citronferry::node {
 
@@ -43,7 +43,7 @@
   void Observe(const ownership::RebootAccepted& reboot, TimePoint now) {
     m_ownership.Handle(reboot, now);
   }
-  void Observe(std::span<const platform::InstanceInfo> list, TimePoint read_started, TimePoint now);
+  void Observe(std::span<const provider::InstanceInfo> list, TimePoint read_started, TimePoint now);
 
   /// @param epoch fencing epoch of the lease that is held.
   PlanningStep Step(uint64_t epoch, int64_t wall_seconds, TimePoint now);
--- a/src/node/planner/internal/row_codec.cc
+++ b/src/node/planner/internal/row_codec.cc
@@ -102,7 +102,7 @@
   return row;
 }
 
-ownership::EntryReport DecodeEntryReport(const platform::Row& row) {
+ownership::EntryReport DecodeEntryReport(const provider::Row& row) {
   const QJsonObject json = ParseObject(row.value).value_or(QJsonObject());
   ownership::EntryReport report{.id = EntryId(row.key),
                                 .version = row.version,
--- a/src/node/planner/internal/row_codec.h
+++ b/src/node/planner/internal/row_codec.h
@@ -8,7 +8,7 @@
 #include "decisions/leadership/lease.h"
 #include "decisions/maintenance/types.h"
 #include "decisions/ownership/types.h"
-#include "platform/table_service.h"
+#include "provider/table_service.h"
 
 namespace citronferry::node {
 
@@ -21,7 +21,7 @@
 std::optional<maintenance::PoolRow> DecodePoolRow(std::string_view text);
 
 /// Reads what an entry's row says about ownership. An unreadable row acknowledges nothing.
-ownership::EntryReport DecodeEntryReport(const platform::Row& row);
+ownership::EntryReport DecodeEntryReport(const provider::Row& row);
 
 }  // namespace citronferry::node
 
--- a/src/node/planner/tests/planner_service_test.cc
+++ b/src/node/planner/tests/planner_service_test.cc
@@ -4,7 +4,7 @@
 
 #include "node/planner/internal/row_codec.h"
 #include "node/planner/ownership_codec.h"
-#include "platform/testing/fake_table_service.h"
+#include "provider/testing/fake_table_service.h"
 #include "supervision/task_scope.h"
 #include "supervision/testing/event_loop.h"
 #include "supervision/timer_queue.h"
@@ -13,12 +13,12 @@
 namespace {
 
 /// Two instances that are absent for 20 s while they reboot, and the entries.
-class FakeInstances : public platform::InstanceService {
+class FakeInstances : public provider::InstanceService {
  public:
   explicit FakeInstances(TimerService& timers) : m_timers(timers) {}
 
-  QCoro::Task<RetVal<std::vector<platform::InstanceInfo>>> List() override {
-    std::vector<platform::InstanceInfo> list{{.id = InstanceId("e0"), .is_entry = true},
+  QCoro::Task<RetVal<std::vector<provider::InstanceInfo>>> List() override {
+    std::vector<provider::InstanceInfo> list{{.id = InstanceId("e0"), .is_entry = true},
                                              {.id = InstanceId("e1"), .is_entry = true}};
     for (const char* id : {"i0", "i1"}) {
       const auto reboot = reboots.find(InstanceId(id));
@@ -113,8 +113,8 @@
 
   ManualTimerService m_timers;
   Metrics m_metrics;
-  platform::PlatformModule m_platform{{.url = "http://127.0.0.1:1"}};
-  platform::FakeTableService m_tables;
+  provider::ProviderModule m_platform{{.url = "http://127.0.0.1:1"}};
+  provider::FakeTableService m_tables;
   FakeInstances m_instances{m_timers};
   std::shared_ptr<const document::Document> m_document;
   uint64_t m_version = 0;
@@ -169,7 +169,7 @@
 TEST_F(PlannerServiceTest, PlannerThatResumesLateIsFenced) {
   Configure(Pools("a"), 1);
   int late_writes = 0;
-  m_tables.before_write = [&](const platform::RowKey& key) {
+  m_tables.before_write = [&](const provider::RowKey& key) {
     if (key.table == "leases") return;
     // The pause happens while the first write of the step is on its way.
     if (late_writes++ > 0) return;
--- a/src/node/planner/tests/planning_test.cc
+++ b/src/node/planner/tests/planning_test.cc
@@ -51,7 +51,7 @@
 // that was removed from the document and counts against no budget any more.
 TEST(PolicyTest, OnlyServingRowsAreUsed) {
   Metrics metrics;
-  platform::PlatformModule platform({.url = "http://127.0.0.1:1"});
+  provider::ProviderModule platform({.url = "http://127.0.0.1:1"});
   ManualTimerService timers;
   const document::Settings settings{.id = EntryId("e0")};
   NodeContext context{
@@ -97,7 +97,7 @@
       {.name = ServiceName("t"), .pool = PoolName("a"), .max_unavailable = 3, .reserve = 1}};
   EXPECT_EQ(planning.Observe(document, 1, TimePoint(1s)), std::vector{shared});
   EXPECT_EQ(planning.ownership().homes().at(shared), PoolName("a"));
-  const std::vector<platform::InstanceInfo> list{{.id = InstanceId("e0")}, {.id = shared}};
+  const std::vector<provider::InstanceInfo> list{{.id = InstanceId("e0")}, {.id = shared}};
   planning.Observe(list, TimePoint(1s), TimePoint(1s));
   planning.Step(1, 0, TimePoint(1s));
   EXPECT_EQ(planning.maintenance().progress()[0].allowed, 2);
@@ -118,7 +118,7 @@
   const ownership::RowObserved row{
       .id = id, .row = ownership::InstanceRow{.pool = PoolName("a")}, .version = 1, .sequence = 1};
   planning.Observe(row, TimePoint(1s));
-  const std::vector<platform::InstanceInfo> list{{.id = id}};
+  const std::vector<provider::InstanceInfo> list{{.id = id}};
   planning.Observe(list, TimePoint(1s), TimePoint(1s));
   constexpr int64_t kMidnight = 86'400;
   planning.Step(1, kMidnight, TimePoint(1s));
--- a/src/platform/instance_service.h
+++ b/src/provider/instance_service.h
@@ -1,5 +1,5 @@
-#ifndef CITRONFERRY_PLATFORM_INSTANCE_SERVICE_H_
-#define CITRONFERRY_PLATFORM_INSTANCE_SERVICE_H_
+#ifndef CITRONFERRY_PROVIDER_INSTANCE_SERVICE_H_
+#define CITRONFERRY_PROVIDER_INSTANCE_SERVICE_H_
 
 #include <qcoro/qcorotask.h>
 
@@ -9,7 +9,7 @@
 #include "base/ids.h"
 #include "base/ret.h"
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 
 enum class InstanceState { kLive, kLeaving };
 
@@ -35,6 +35,6 @@
   virtual QCoro::Task<Ret> Reboot(InstanceId instance) = 0;
 };
 
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
 
-#endif  // CITRONFERRY_PLATFORM_INSTANCE_SERVICE_H_
+#endif  // CITRONFERRY_PROVIDER_INSTANCE_SERVICE_H_
--- a/src/platform/internal/http_instance_service.cc
+++ b/src/provider/internal/http_instance_service.cc
@@ -1,10 +1,10 @@
-#include "platform/internal/http_instance_service.h"
+#include "provider/internal/http_instance_service.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 namespace {
 
 std::string Text(const QJsonObject& object, const char* name) {
@@ -24,7 +24,7 @@
 }  // namespace
 
 QCoro::Task<RetVal<std::vector<InstanceInfo>>> HttpInstanceService::List() {
-  PlatformCall call{.path = "/v1/instances"};
+  ProviderCall call{.path = "/v1/instances"};
   if (!m_etag.empty()) call.headers.push_back({"If-None-Match", m_etag});
   const auto response = co_await m_caller.Send(std::move(call));
   if (!response.ok()) co_return response.ret();
@@ -44,7 +44,7 @@
 }
 
 QCoro::Task<Ret> HttpInstanceService::Reboot(InstanceId instance) {
-  PlatformCall call{.method = "POST",
+  ProviderCall call{.method = "POST",
                     .path = "/v1/instances/" + EncodePathSegment(instance.view()) + "/reboot"};
   const auto response = co_await m_caller.Send(std::move(call));
   if (!response.ok()) co_return response.ret();
@@ -52,4 +52,4 @@
   co_return MakeOk();
 }
 
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
--- a/src/platform/internal/http_object_store.cc
+++ b/src/provider/internal/http_object_store.cc
@@ -1,6 +1,6 @@
-#include "platform/internal/http_object_store.h"
+#include "provider/internal/http_object_store.h"
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 namespace {
 
 std::string ObjectPath(std::string_view key) { return "/v1/objects/" + EncodePathSegment(key); }
@@ -8,7 +8,7 @@
 }  // namespace
 
 QCoro::Task<Ret> HttpObjectStore::Put(std::string key, std::string content) {
-  PlatformCall call{.method = "PUT", .path = ObjectPath(key), .body = std::move(content)};
+  ProviderCall call{.method = "PUT", .path = ObjectPath(key), .body = std::move(content)};
   const auto response = co_await m_caller.Send(std::move(call));
   if (!response.ok()) co_return response.ret();
   if (response->status != 200 && response->status != 201) {
@@ -18,11 +18,11 @@
 }
 
 QCoro::Task<RetVal<std::string>> HttpObjectStore::Get(std::string key) {
-  PlatformCall call{.path = ObjectPath(key)};
+  ProviderCall call{.path = ObjectPath(key)};
   const auto response = co_await m_caller.Send(std::move(call));
   if (!response.ok()) co_return response.ret();
   if (response->status != 200) co_return StatusError(response.value(), "read of an object");
   co_return response->body.toStdString();
 }
 
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
--- a/src/platform/internal/http_table_service.cc
+++ b/src/provider/internal/http_table_service.cc
@@ -1,11 +1,11 @@
-#include "platform/internal/http_table_service.h"
+#include "provider/internal/http_table_service.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <charconv>
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 namespace {
 
 std::string RowPath(const RowKey& key) {
@@ -51,7 +51,7 @@
 }  // namespace
 
 QCoro::Task<RetVal<Row>> HttpTableService::Get(RowKey key) {
-  PlatformCall call{.path = RowPath(key)};
+  ProviderCall call{.path = RowPath(key)};
   const auto response = co_await m_caller.Send(std::move(call));
   if (!response.ok()) co_return response.ret();
   if (response->status != 200) co_return StatusError(response.value(), "read of a row");
@@ -71,7 +71,7 @@
 
 QCoro::Task<RetVal<Row>> HttpTableService::Write(RowKey key, std::string value,
                                                  http::Header condition) {
-  PlatformCall call{.method = "PUT", .path = RowPath(key), .body = value};
+  ProviderCall call{.method = "PUT", .path = RowPath(key), .body = value};
   call.headers.push_back(std::move(condition));
   const auto response = co_await m_caller.Send(std::move(call));
   if (!response.ok()) co_return response.ret();
@@ -82,7 +82,7 @@
 }
 
 QCoro::Task<Ret> HttpTableService::Delete(RowKey key, uint64_t expected_version) {
-  PlatformCall call{.method = "DELETE", .path = RowPath(key)};
+  ProviderCall call{.method = "DELETE", .path = RowPath(key)};
   call.headers.push_back({"If-Match", QuoteVersion(expected_version)});
   const auto response = co_await m_caller.Send(std::move(call));
   if (!response.ok()) co_return response.ret();
@@ -91,7 +91,7 @@
 }
 
 QCoro::Task<RetVal<ChangeBatch>> HttpTableService::Changes(std::string table, uint64_t after) {
-  PlatformCall call{.path = "/v1/tables/" + EncodePathSegment(table) +
+  ProviderCall call{.path = "/v1/tables/" + EncodePathSegment(table) +
                             "/changes?after=" + std::to_string(after)};
   const auto response = co_await m_caller.Send(std::move(call));
   if (!response.ok()) co_return response.ret();
@@ -101,4 +101,4 @@
   co_return std::move(*batch);
 }
 
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
--- a/src/platform/internal/http_table_service.h
+++ b/src/provider/internal/http_table_service.h
@@ -1,15 +1,15 @@
-#ifndef CITRONFERRY_PLATFORM_INTERNAL_HTTP_TABLE_SERVICE_H_
-#define CITRONFERRY_PLATFORM_INTERNAL_HTTP_TABLE_SERVICE_H_
+#ifndef CITRONFERRY_PROVIDER_INTERNAL_HTTP_TABLE_SERVICE_H_
+#define CITRONFERRY_PROVIDER_INTERNAL_HTTP_TABLE_SERVICE_H_
 
-#include "platform/internal/platform_call.h"
-#include "platform/table_service.h"
+#include "provider/internal/provider_call.h"
+#include "provider/table_service.h"
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 
 /// Table service over HTTP with conditional writes (ETag, If-Match, If-None-Match).
 class HttpTableService : public TableService {
  public:
-  explicit HttpTableService(PlatformCaller caller) : m_caller(caller) {}
+  explicit HttpTableService(ProviderCaller caller) : m_caller(caller) {}
 
   QCoro::Task<RetVal<Row>> Get(RowKey key) override;
   QCoro::Task<RetVal<Row>> Create(RowKey key, std::string value) override;
@@ -21,9 +21,9 @@
  private:
   QCoro::Task<RetVal<Row>> Write(RowKey key, std::string value, http::Header condition);
 
-  PlatformCaller m_caller;
+  ProviderCaller m_caller;
 };
 
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
 
-#endif  // CITRONFERRY_PLATFORM_INTERNAL_HTTP_TABLE_SERVICE_H_
+#endif  // CITRONFERRY_PROVIDER_INTERNAL_HTTP_TABLE_SERVICE_H_
--- a/src/platform/internal/platform_call.cc
+++ b/src/provider/internal/provider_call.cc
@@ -1,10 +1,10 @@
-#include "platform/internal/platform_call.h"
+#include "provider/internal/provider_call.h"
 
 #include <QUrl>
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 
-QCoro::Task<RetVal<http::Response>> PlatformCaller::Send(PlatformCall call) {
+QCoro::Task<RetVal<http::Response>> ProviderCaller::Send(ProviderCall call) {
   if (!m_options.token.empty()) {
     call.headers.push_back({"Authorization", "Bearer " + m_options.token});
   }
@@ -58,4 +58,4 @@
   }
 }
 
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
--- a/src/platform/internal/platform_call.h
+++ b/src/provider/internal/provider_call.h
@@ -1,15 +1,15 @@
-#ifndef CITRONFERRY_PLATFORM_INTERNAL_PLATFORM_CALL_H_
-#define CITRONFERRY_PLATFORM_INTERNAL_PLATFORM_CALL_H_
+#ifndef CITRONFERRY_PROVIDER_INTERNAL_PLATFORM_CALL_H_
+#define CITRONFERRY_PROVIDER_INTERNAL_PLATFORM_CALL_H_
 
 #include <string>
 
 #include "http/client.h"
-#include "platform/platform_module.h"
+#include "provider/provider_module.h"
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 
 /// One call to the platform over HTTP.
-struct PlatformCall {
+struct ProviderCall {
   std::string method = "GET";
   std::string path;  ///< Path and query, percent-encoded.
   http::Headers headers;
@@ -17,18 +17,18 @@
 };
 
 /// Sends calls with the platform's address, token and deadline.
-class PlatformCaller {
+class ProviderCaller {
  public:
-  PlatformCaller(http::Client& client, const PlatformOptions& options)
+  ProviderCaller(http::Client& client, const ProviderOptions& options)
       : m_client(client), m_options(options) {}
 
   /// @return the response with a status below 500; kUnavailable when the platform refused the call
   ///   or could not be reached; kUnknownOutcome when its answer was lost.
-  QCoro::Task<RetVal<http::Response>> Send(PlatformCall call);
+  QCoro::Task<RetVal<http::Response>> Send(ProviderCall call);
 
  private:
   http::Client& m_client;
-  const PlatformOptions& m_options;
+  const ProviderOptions& m_options;
 };
 
 /// @return the text percent-encoded for one path segment.
@@ -37,6 +37,6 @@
 /// Maps a status that is not a success to an error.
 Ret StatusError(const http::Response& response, std::string_view what);
 
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
 
-#endif  // CITRONFERRY_PLATFORM_INTERNAL_PLATFORM_CALL_H_
+#endif  // CITRONFERRY_PROVIDER_INTERNAL_PLATFORM_CALL_H_
--- a/src/platform/object_store.h
+++ b/src/provider/object_store.h
@@ -1,5 +1,5 @@
-#ifndef CITRONFERRY_PLATFORM_OBJECT_STORE_H_
-#define CITRONFERRY_PLATFORM_OBJECT_STORE_H_
+#ifndef CITRONFERRY_PROVIDER_OBJECT_STORE_H_
+#define CITRONFERRY_PROVIDER_OBJECT_STORE_H_
 
 #include <qcoro/qcorotask.h>
 
@@ -7,7 +7,7 @@
 
 #include "base/ret.h"
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 
 /// The platform's object store. Objects are addressed by their digest and never change.
 class ObjectStore {
@@ -20,6 +20,6 @@
   virtual QCoro::Task<RetVal<std::string>> Get(std::string key) = 0;
 };
 
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
 
-#endif  // CITRONFERRY_PLATFORM_OBJECT_STORE_H_
+#endif  // CITRONFERRY_PROVIDER_OBJECT_STORE_H_
--- a/src/platform/table_service.h
+++ b/src/provider/table_service.h
@@ -1,5 +1,5 @@
-#ifndef CITRONFERRY_PLATFORM_TABLE_SERVICE_H_
-#define CITRONFERRY_PLATFORM_TABLE_SERVICE_H_
+#ifndef CITRONFERRY_PROVIDER_TABLE_SERVICE_H_
+#define CITRONFERRY_PROVIDER_TABLE_SERVICE_H_
 
 #include <qcoro/qcorotask.h>
 
@@ -9,7 +9,7 @@
 
 #include "base/ret.h"
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 
 /// Names a row. Coroutines take it by value, since the caller may go on before they end.
 struct RowKey {
@@ -57,6 +57,6 @@
   virtual QCoro::Task<RetVal<ChangeBatch>> Changes(std::string table, uint64_t after) = 0;
 };
 
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
 
-#endif  // CITRONFERRY_PLATFORM_TABLE_SERVICE_H_
+#endif  // CITRONFERRY_PROVIDER_TABLE_SERVICE_H_
--- a/src/platform/testing/fake_table_service.h
+++ b/src/provider/testing/fake_table_service.h
@@ -1,5 +1,5 @@
-#ifndef CITRONFERRY_PLATFORM_TESTING_FAKE_TABLE_SERVICE_H_
-#define CITRONFERRY_PLATFORM_TESTING_FAKE_TABLE_SERVICE_H_
+#ifndef CITRONFERRY_PROVIDER_TESTING_FAKE_TABLE_SERVICE_H_
+#define CITRONFERRY_PROVIDER_TESTING_FAKE_TABLE_SERVICE_H_
 
 #include <algorithm>
 #include <functional>
@@ -9,9 +9,9 @@
 #include <utility>
 #include <vector>
 
-#include "platform/table_service.h"
+#include "provider/table_service.h"
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 
 /// Table service in memory for tests. Calls end at once.
 class FakeTableService : public TableService {
@@ -111,6 +111,6 @@
   int m_writes = 0;
 };
 
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
 
-#endif  // CITRONFERRY_PLATFORM_TESTING_FAKE_TABLE_SERVICE_H_
+#endif  // CITRONFERRY_PROVIDER_TESTING_FAKE_TABLE_SERVICE_H_
--- a/src/platform/tests/platform_test.cc
+++ b/src/provider/tests/provider_test.cc
@@ -2,12 +2,12 @@
 
 #include <QJsonDocument>
 
-#include "platform/platform_module.h"
+#include "provider/provider_module.h"
 #include "standins/platform/platform_standin.h"
 #include "supervision/task_scope.h"
 #include "supervision/testing/event_loop.h"
 
-namespace citronferry::platform {
+namespace citronferry::provider {
 namespace {
 
 class PlatformTest : public ::testing::Test {
@@ -28,7 +28,7 @@
         });
     EXPECT_TRUE(m_server->Listen().ok());
     m_tasks.Spawn([this]() -> QCoro::Task<void> { static_cast<void>(co_await m_server->Run()); });
-    m_platform = std::make_unique<PlatformModule>(PlatformOptions{
+    m_platform = std::make_unique<ProviderModule>(ProviderOptions{
         .url = "http://127.0.0.1:" + std::to_string(m_server->port()), .timeout = 300ms});
   }
   ~PlatformTest() override {
@@ -56,7 +56,7 @@
   std::unique_ptr<TimerService> m_timers;
   std::unique_ptr<standin::PlatformStandin> m_standin;
   std::unique_ptr<http::Server> m_server;
-  std::unique_ptr<PlatformModule> m_platform;
+  std::unique_ptr<ProviderModule> m_platform;
   TaskScope m_tasks;
   int m_calls = 0;
   int m_last_status = 0;
@@ -124,4 +124,4 @@
 }
 
 }  // namespace
-}  // namespace citronferry::platform
+}  // namespace citronferry::provider
--- a/tests/process/rig.h
+++ b/tests/process/rig.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "http/client.h"
-#include "platform/platform_module.h"
+#include "provider/provider_module.h"
 #include "standins/caller/load.h"
 #include "supervision/task_scope.h"
 
