--- /dev/null
+++ b/src/decisions/scheduling/internal/duty_planner.cc
@@ -0,0 +1,46 @@
+#include "decisions/scheduling/duty_planner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace citronferry::scheduling {
+namespace {
+
+// What runs must fit into the rest of the pool with this much to spare.
+constexpr double kHeadroom = 1.25;
+// Drain, maintenance and return of one instance, with waiting for tasks to end.
+constexpr Duration kTimePerInstance = 6s;
+// Under pressure of time this share of a pool may be out at once even in a surge.
+constexpr double kPressedShare = 0.25;
+
+}  // namespace
+
+std::vector<InstanceId> ChooseForMaintenance(std::span<const MaintenanceCandidate> candidates,
+                                             const MaintenanceState& state) {
+  std::vector<MaintenanceCandidate> ordered(candidates.begin(), candidates.end());
+  // The least work first: it is drained soonest and costs least.
+  std::sort(ordered.begin(), ordered.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.lasting_tasks, a.used_cores, a.instance) <
+           std::tie(b.lasting_tasks, b.used_cores, b.instance);
+  });
+  const double instance_cores = ordered.empty() ? 0 : ordered.front().cores;
+  const bool pressed =
+      state.time_left < kTimePerInstance * static_cast<int64_t>(1 + state.open_instances / 2);
+  std::vector<InstanceId> chosen;
+  double capacity = state.load.capacity;
+  int out = state.out_of_service;
+  for (const MaintenanceCandidate& candidate : ordered) {
+    if (out >= state.max_at_once) break;
+    const double needed = (state.load.used + state.load.waiting) * kHeadroom;
+    const bool fits = capacity - candidate.cores >= needed;
+    const double pool_size = state.load.capacity / std::max(instance_cores, 1.0) + out;
+    const bool forced = pressed && out < std::max(1.0, pool_size * kPressedShare);
+    if (!fits && !forced) break;
+    chosen.push_back(candidate.instance);
+    capacity -= candidate.cores;
+    ++out;
+  }
+  return chosen;
+}
+
+}  // namespace citronferry::scheduling
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -6,6 +6,7 @@
 
 #include "fleet/backoff.h"
 #include "fleet/pool/internal/executor_link.h"
+#include "fleet/pool/internal/instance_duties.h"
 #include "fleet/tables.h"
 #include "telemetry/log.h"
 
@@ -74,6 +75,8 @@
   SyncLinks();
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return FollowJobs(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return Tick(); });
+  m_duties = std::make_unique<InstanceDuties>(*this);
+  m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_duties->Run(); });
   Subscription stopping = stop.Subscribe([this] { End(MakeOk()); });
   Ret committed = co_await m_commits->Run(m_ended);
   if (!committed.ok()) End(committed);
@@ -192,11 +195,32 @@
           {{"job", row.key.key}, {"error", job.ret().message()}});
       continue;
     }
-    m_scheduler->AddJob(std::make_shared<scheduling::JobDefinition>(std::move(job).value()),
-                        nullptr, now, inherited);
+    const auto definition =
+        std::make_shared<scheduling::JobDefinition>(std::move(job).value());
+    WriteNewJob(*definition);
+    m_scheduler->AddJob(definition, nullptr, now, inherited);
   }
 }
 
+void PoolOwner::WriteNewJob(const scheduling::JobDefinition& job) const {
+  const scheduling::StepSpec& first = job.steps.front();
+  Log(LogLevel::kInfo, "job_known",
+      {{"pool", m_pool.view()},
+       {"request", job.id.view()},
+       {"queue", job.queue.view()},
+       {"steps", job.steps.size()},
+       {"tasks", first.replicas},
+       {"cpu_millicores", first.request.cpu_millicores},
+       {"estimate_ms", ToMilliseconds(first.estimated_duration)},
+       {"image", first.image},
+       {"lasting", first.lasting},
+       {"fills", first.uses_leftover_cpu},
+       {"max_per_executor", first.max_per_executor},
+       {"max_unavailable", first.max_unavailable},
+       {"tail_target_ms", ToMilliseconds(first.tail_target)},
+       {"epoch", m_ownership.epoch}});
+}
+
 void PoolOwner::ApplyConfiguration() {
   std::vector<scheduling::QueuePolicy> queues;
   for (const QueueRoute& queue : m_context.configuration.Get().queues) {
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -14,6 +14,7 @@
 namespace citronferry::fleet {
 
 class ExecutorLink;
+class InstanceDuties;
 
 /// A candidate takes a pool over when its owner has not committed for this long while the store
 /// answered. It covers an owner's lease (kOwnerLease) and clocks that differ a little.
@@ -42,6 +43,8 @@
   const PoolName& pool() const { return m_pool; }
   scheduling::PoolScheduler& scheduler() { return *m_scheduler; }
   int64_t epoch() const { return m_ownership.epoch; }
+  /// @return the version of the newest commit, which rises across the owners of all pools.
+  int64_t newest_version() const { return m_commits->newest_version(); }
   /// @return whether orders may be given and leases extended.
   bool may_order() const;
   StopSignal& ended() { return m_ended; }
@@ -57,6 +60,7 @@
   void ApplyConfiguration();
   void SyncLinks();
   void WriteNotes();
+  void WriteNewJob(const scheduling::JobDefinition& job) const;
   void End(Ret reason);
 
   FleetContext& m_context;
@@ -65,6 +69,7 @@
   std::unique_ptr<scheduling::PoolScheduler> m_scheduler;
   std::unique_ptr<CommitLog> m_commits;
   std::map<scheduling::ExecutorId, std::unique_ptr<ExecutorLink>> m_links;
+  std::unique_ptr<InstanceDuties> m_duties;
   std::set<scheduling::ExecutorId> m_listed;
   int64_t m_jobs_version = 0;
   StopSignal m_ended;
