Move instances to the pool that surges; keep a run whose start is refused as outdated

An outdated start now leaves the run to the next report, and a refusal after an unanswered attempt settles nothing.

--- a/src/decisions/scheduling/internal/placement.cc
+++ b/src/decisions/scheduling/internal/placement.cc
@@ -71,6 +71,14 @@
   return widest == free_cpu.end() ? RackName() : widest->first;
 }
 
+// Tasks of one step spread, so that the loss of an executor takes few of them. Beside that, lasting
+// tasks gather on few executors, and others fill the fullest one: whole executors stay free for wide
+// tasks, maintenance and moves.
+std::tuple<int, int, int64_t> Placer::LastingOrder(const Candidate& candidate, const Step& step) {
+  return {CountOnExecutor(step, candidate.executor->info.id), -candidate.lasting_tasks,
+          candidate.free.cpu_millicores};
+}
+
 ExecutorState* Placer::Place(const StepPlacement& placement, const ExecutorId& avoided) {
   const StepSpec& spec = placement.spec;
   const Resources request = Counted(spec);
@@ -86,13 +94,9 @@
     if (best && is_avoided != best_avoided) {
       if (is_avoided) continue;
     } else if (best) {
-      // Lasting tasks spread, so that the loss of one executor takes few of a step. Others fill the
-      // fullest executor, which leaves whole executors for wide tasks, maintenance and moves.
       const bool better =
-          spec.lasting
-              ? std::pair(candidate.lasting_tasks, -candidate.free.cpu_millicores) <
-                    std::pair(best->lasting_tasks, -best->free.cpu_millicores)
-              : candidate.free.cpu_millicores < best->free.cpu_millicores;
+          spec.lasting ? LastingOrder(candidate, placement.step) < LastingOrder(*best, placement.step)
+                       : candidate.free.cpu_millicores < best->free.cpu_millicores;
       if (!better) continue;
     }
     best = &candidate;
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -225,6 +225,13 @@
       if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
       if (run->phase == RunPhase::kRunning) run->settled_at = now;
       return;
+    case StartAnswer::kRunOutdated:
+      // An earlier attempt may have been carried out although its answer was lost, and have ended
+      // meanwhile. The next report lists its end, or shows that it was never there.
+      Note("start_outdated", order.task, order.run, order.executor);
+      if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
+      run->settled_at = now;
+      return;
     case StartAnswer::kUnknown:
       // It may still start, so the task waits until the run is known to be stopped.
       Note("start_unanswered", order.task, order.run, order.executor);
@@ -243,7 +250,6 @@
     case StartAnswer::kMalformed:
       executor->health.Quarantine(now);
       break;
-    case StartAnswer::kRunOutdated:
     case StartAnswer::kDeadlinePassed:
     case StartAnswer::kTicketInvalid:
     case StartAnswer::kNotSent:
@@ -500,6 +506,23 @@
                              .checkpoint = checkpoint});
 }
 
+double PoolScheduler::WorkOf(const JobDefinition& definition) const {
+  const bool lasting = std::any_of(definition.steps.begin(), definition.steps.end(),
+                                   [](const StepSpec& step) { return step.lasting; });
+  return lasting ? 0 : EstimateWhole(definition, m_durations).core_seconds;
+}
+
+double PoolScheduler::lasting_cores() const {
+  double cores = 0;
+  for (const auto& [id, executor] : m_executors) {
+    for (const RunRef& ref : executor.runs) {
+      if (!ref.job->spec(ref.task.step).lasting) continue;
+      cores += static_cast<double>(CountedRequest(*ref.job, ref.task.step).cpu_millicores) / 1000;
+    }
+  }
+  return cores;
+}
+
 void PoolScheduler::SetRetiring(const ExecutorId& id, bool retiring) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor || executor->retiring == retiring) return;
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -138,6 +138,10 @@
   size_t open_jobs() const { return m_open_jobs.size(); }
   /// @return cores that the waiting tasks of ready steps ask for, at the last planning.
   double waiting_cores() const { return m_waiting_cores; }
+  /// @return cores that lasting tasks have.
+  double lasting_cores() const;
+  /// @return the expected core-seconds of a job.
+  double WorkOf(const JobDefinition& definition) const;
 
  private:
   struct PlanningJob;
--- a/src/fleet/fleet_context.h
+++ b/src/fleet/fleet_context.h
@@ -7,6 +7,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "decisions/scheduling/move_planner.h"
 #include "fleet/interfaces/client_protocol.h"
 #include "fleet/interfaces/configuration.h"
 #include "fleet/interfaces/executors.h"
@@ -61,6 +62,7 @@
   Observable<Configuration> configuration;  ///< Version 0 until the first one was read.
   Observable<std::map<int64_t, UpkeepWave>> waves;
   Observable<ExecutorListing> registry;
+  Observable<std::map<PoolName, scheduling::PoolDemand>> demands;
   std::map<PoolName, OwnerView> owners;
   std::optional<TimePoint> owners_seen_since;  ///< Start of the unbroken observation of owners.
   TimePoint store_answered_at{};
--- a/src/fleet/internal/fleet_node.cc
+++ b/src/fleet/internal/fleet_node.cc
@@ -27,6 +27,7 @@
   children.push_back(MakeOperatorWatcher(context));
   children.push_back(MakeOwnerWatcher(context));
   children.push_back(MakeRegistryWatcher(context));
+  children.push_back(MakeDemandWatcher(context));
   children.push_back(MakePoolsService(context));
   for (ChildSpec& server : MakeEntryServers(context)) children.push_back(std::move(server));
   return Supervisor(context.timers,
--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -111,6 +111,10 @@
   return JobId(key.substr(0, key.size() - kCancelSuffix.size()));
 }
 
+RowKey DemandKey(const PoolName& pool) {
+  return {.table = kDemandTable, .partition = kDemandTable, .key = pool.str()};
+}
+
 std::string EncodeOwner(const OwnerRecord& record) {
   return bj::serialize(bj::object{{"holder", record.holder},
                                   {"incarnation", record.incarnation},
@@ -249,4 +253,43 @@
   return queue;
 }
 
+std::string EncodeDemand(const scheduling::PoolDemand& demand) {
+  bj::object departing;
+  for (const auto& [pool, count] : demand.departing) departing[pool.str()] = count;
+  return bj::serialize(bj::object{{"standby", demand.standby},
+                                  {"instances", demand.instances},
+                                  {"movable", demand.movable},
+                                  {"cores", demand.cores_per_instance},
+                                  {"wanted", demand.wanted_cores},
+                                  {"departing", std::move(departing)},
+                                  {"surges", demand.surges},
+                                  {"predecessor", demand.pattern.predecessor.str()},
+                                  {"lag_ms", ToMilliseconds(demand.pattern.lag)},
+                                  {"surge_cores", demand.pattern.cores}});
+}
+
+RetVal<scheduling::PoolDemand> DecodeDemand(const PoolName& pool, std::string_view text) {
+  const auto value = json::Parse(text);
+  if (!value.ok()) return value.ret();
+  json::ObjectReader reader(value.value());
+  scheduling::PoolDemand demand{.pool = pool,
+                                .standby = reader.Boolean("standby"),
+                                .instances = static_cast<int>(reader.Integer("instances")),
+                                .movable = static_cast<int>(reader.Integer("movable")),
+                                .cores_per_instance = reader.Number("cores"),
+                                .wanted_cores = reader.Number("wanted"),
+                                .surges = static_cast<int>(reader.Integer("surges"))};
+  demand.pattern = {.predecessor = PoolName(reader.Text("predecessor")),
+                    .lag = std::chrono::milliseconds(reader.Integer("lag_ms")),
+                    .cores = reader.Number("surge_cores")};
+  if (const bj::value* departing = reader.Find("departing"); departing && departing->is_object()) {
+    for (const auto& [to, count] : departing->get_object()) {
+      demand.departing[PoolName(std::string_view(to.data(), to.size()))] =
+          static_cast<int>(json::AsInteger(count).value_or(0));
+    }
+  }
+  if (!reader.ok()) return reader.ret();
+  return demand;
+}
+
 }  // namespace citronferry::fleet
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -34,6 +34,13 @@
 constexpr Duration kLongestRetry = 1s;
 constexpr Duration kPausedLook = 50ms;
 
+// An attempt without an answer may be carried out seconds later, whatever a later attempt was told,
+// unless the executor has seen this run or does not exist any more.
+bool SettlesEarlierAttempts(StartAnswer answer) {
+  return answer == StartAnswer::kStarted || answer == StartAnswer::kRunOutdated ||
+         answer == StartAnswer::kOtherExecutor;
+}
+
 }  // namespace
 
 ExecutorLink::ExecutorLink(PoolOwner& owner, scheduling::ExecutorId id)
@@ -152,6 +159,7 @@
 QCoro::Task<void> ExecutorLink::Carry(StartOrder order, TimePoint queued_at) {
   TimerService& timers = m_owner.context().timers;
   StartAnswer answer = StartAnswer::kNotSent;
+  bool unanswered = false;
   for (int attempt = 0; attempt < kStartAttempts; ++attempt) {
     const TimePoint now = timers.Now();
     const ExecutorState* state = m_owner.scheduler().FindExecutor(m_id);
@@ -167,7 +175,9 @@
     answer = co_await m_owner.context().backends.executors.Start(Address(), call);
     if (m_owner.ended().requested()) co_return;
     if (answer != StartAnswer::kUnknown) break;
+    unanswered = true;
   }
+  if (unanswered && !SettlesEarlierAttempts(answer)) answer = StartAnswer::kUnknown;
   m_owner.scheduler().OnStartAnswer(order, answer, timers.Now());
   if (answer != StartAnswer::kStarted) m_owner.Pump();
 }
--- /dev/null
+++ b/src/fleet/pool/internal/instance_directory.cc
@@ -0,0 +1,45 @@
+#include "fleet/pool/internal/instance_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "telemetry/log.h"
+
+namespace citronferry::fleet {
+namespace {
+
+// Least time between two readings, also when one fails.
+constexpr Duration kMinInterval = 300ms;
+
+}  // namespace
+
+QCoro::Task<void> InstanceDirectory::Refresh(Duration max_age) {
+  const TimePoint now = m_context.timers.Now();
+  const bool fresh = m_known && !m_expired && now - m_read_at <= max_age;
+  if (fresh || now - m_asked_at < kMinInterval) co_return;
+  m_asked_at = now;
+  m_expired = false;
+  auto listed = co_await m_context.backends.instances.List();
+  if (!listed.ok()) {
+    Log(LogLevel::kWarning, "instances_unknown", {{"error", listed.ret().message()}});
+    co_return;
+  }
+  m_instances = std::move(listed).value();
+  m_read_at = now;
+  m_known = true;
+}
+
+const Instance* InstanceDirectory::Find(const InstanceId& id) const {
+  const auto found = std::find_if(m_instances.begin(), m_instances.end(),
+                                  [&](const Instance& instance) { return instance.id == id; });
+  return found == m_instances.end() ? nullptr : &*found;
+}
+
+const Instance* InstanceDirectory::FindByExecutor(const scheduling::ExecutorId& id) const {
+  const auto found =
+      std::find_if(m_instances.begin(), m_instances.end(),
+                   [&](const Instance& instance) { return instance.executor == id; });
+  return found == m_instances.end() ? nullptr : &*found;
+}
+
+}  // namespace citronferry::fleet
--- /dev/null
+++ b/src/fleet/pool/internal/instance_directory.h
@@ -0,0 +1,38 @@
+#ifndef CITRONFERRY_FLEET_POOL_INTERNAL_INSTANCE_DIRECTORY_H_
+#define CITRONFERRY_FLEET_POOL_INTERNAL_INSTANCE_DIRECTORY_H_
+
+#include <vector>
+
+#include "fleet/fleet_context.h"
+
+namespace citronferry::fleet {
+
+/// The platform's list of instances as it was last read. Reading is priced, so the duties of a pool
+/// share it.
+class InstanceDirectory {
+ public:
+  explicit InstanceDirectory(FleetContext& context) : m_context(context) {}
+
+  /// Reads the list again if it is older than a bound.
+  QCoro::Task<void> Refresh(Duration max_age);
+  /// Makes the next refresh read the list.
+  void Expire() { m_expired = true; }
+
+  bool known() const { return m_known; }
+  TimePoint read_at() const { return m_read_at; }
+  const std::vector<Instance>& instances() const { return m_instances; }
+  const Instance* Find(const InstanceId& id) const;
+  const Instance* FindByExecutor(const scheduling::ExecutorId& id) const;
+
+ private:
+  FleetContext& m_context;
+  std::vector<Instance> m_instances;
+  TimePoint m_read_at{};   // When the answer came.
+  TimePoint m_asked_at{};
+  bool m_known = false;
+  bool m_expired = true;
+};
+
+}  // namespace citronferry::fleet
+
+#endif  // CITRONFERRY_FLEET_POOL_INTERNAL_INSTANCE_DIRECTORY_H_
--- a/src/fleet/pool/internal/instance_duties.cc
+++ b/src/fleet/pool/internal/instance_duties.cc
@@ -20,18 +20,13 @@
 
 }  // namespace
 
-InstanceDuties::InstanceDuties(PoolOwner& owner)
+InstanceDuties::InstanceDuties(PoolOwner& owner, InstanceDirectory& directory)
     : m_owner(owner),
       m_context(owner.context()),
+      m_directory(directory),
       m_ledger(owner.context()),
       m_first_order_at(owner.context().timers.Now() + owner.context().options.duty_holder_gap) {}
 
-const Instance* InstanceDuties::Find(const InstanceId& id) const {
-  const auto found = std::find_if(m_instances.begin(), m_instances.end(),
-                                  [&](const Instance& instance) { return instance.id == id; });
-  return found == m_instances.end() ? nullptr : &*found;
-}
-
 QCoro::Task<void> InstanceDuties::Run() {
   StopSignal& ended = m_owner.ended();
   while (!ended.requested()) {
@@ -44,7 +39,7 @@
     co_await Refresh();
     if (ended.requested()) co_return;
     for (auto& [number, open] : m_waves) {
-      if (open.read && m_listed) ChooseNext(open);
+      if (open.read && m_directory.known()) ChooseNext(open);
     }
     std::vector<InstanceId> active;
     for (const auto& [instance, duty] : m_duties) active.push_back(instance);
@@ -66,14 +61,7 @@
 
 QCoro::Task<void> InstanceDuties::Refresh() {
   const TimePoint now = m_context.timers.Now();
-  if (!m_listed || now - m_listed_at > kListInterval) {
-    auto listed = co_await m_context.backends.instances.List();
-    if (listed.ok()) {
-      m_instances = std::move(listed).value();
-      m_listed = true;
-    }
-    m_listed_at = now;
-  }
+  co_await m_directory.Refresh(kListInterval);
   for (auto& [number, open] : m_waves) {
     if (open.read && now - open.checked_at < kCheckInterval) continue;
     auto progress = co_await m_ledger.Read(number);
@@ -101,7 +89,7 @@
   state.out_of_service = static_cast<int>(m_duties.size());
   std::vector<scheduling::MaintenanceCandidate> candidates;
   for (const InstanceId& id : open.wave.instances) {
-    const Instance* instance = Find(id);
+    const Instance* instance = m_directory.Find(id);
     if (!instance || instance->pool != m_owner.pool() || open.progress.done.contains(id)) continue;
     ++state.open_instances;
     if (m_duties.contains(id) || instance->state != InstanceState::kUp) continue;
@@ -134,7 +122,7 @@
          .lasting_tasks = static_cast<int>(lasting)});
   }
   for (const InstanceId& id : ChooseForMaintenance(candidates, state)) {
-    const scheduling::ExecutorId executor = Find(id)->executor;
+    const scheduling::ExecutorId executor = m_directory.Find(id)->executor;
     Log(LogLevel::kInfo, "maintenance_drain",
         {{"pool", m_owner.pool().view()},
          {"wave", open.wave.number},
@@ -150,13 +138,13 @@
 
 QCoro::Task<void> InstanceDuties::Advance(InstanceId instance) {
   Duty& duty = m_duties.at(instance);
-  const Instance* listed = Find(instance);
+  const Instance* listed = m_directory.Find(instance);
   if (duty.phase == Phase::kOrdered) {
     // An instance that is off shows no executor after its maintenance either.
     const bool back = listed && listed->state == InstanceState::kUp &&
                       (duty.executor.empty() || (!listed->executor.empty() &&
                                                  listed->executor != duty.executor)) &&
-                      m_listed_at > duty.ordered_at;
+                      m_directory.read_at() > duty.ordered_at;
     if (listed && !back) co_return;
     const int64_t wave = duty.wave;
     const Ret released = co_await m_ledger.Release(wave, instance, true);
@@ -220,7 +208,7 @@
       duty.phase = Phase::kOrdered;
       duty.ordered_at = m_context.timers.Now();
       m_owner.scheduler().OnExecutorGone(duty.executor, m_context.timers.Now());
-      m_listed = false;
+      m_directory.Expire();
       co_return;
     case DutyOutcome::kThrottled:
     case DutyOutcome::kUnknown:
@@ -239,10 +227,10 @@
   for (auto entry = m_waves.begin(); entry != m_waves.end();) {
     OpenWave& open = entry->second;
     const bool all_done =
-        open.read && m_listed &&
+        open.read && m_directory.known() &&
         std::all_of(open.wave.instances.begin(), open.wave.instances.end(),
                     [&](const InstanceId& id) {
-                      return open.progress.done.contains(id) || !Find(id);
+                      return open.progress.done.contains(id) || !m_directory.Find(id);
                     });
     if (!all_done) {
       ++entry;
--- a/src/fleet/pool/internal/instance_duties.h
+++ b/src/fleet/pool/internal/instance_duties.h
@@ -7,6 +7,7 @@
 
 #include "decisions/scheduling/duty_planner.h"
 #include "fleet/fleet_context.h"
+#include "fleet/pool/internal/instance_directory.h"
 #include "fleet/pool/internal/upkeep_ledger.h"
 
 namespace citronferry::fleet {
@@ -17,9 +18,11 @@
 /// waits until it is back.
 class InstanceDuties {
  public:
-  explicit InstanceDuties(PoolOwner& owner);
+  InstanceDuties(PoolOwner& owner, InstanceDirectory& directory);
 
   QCoro::Task<void> Run();
+  /// @return whether an instance is being drained or maintained.
+  bool Has(const InstanceId& instance) const { return m_duties.contains(instance); }
 
  private:
   enum class Phase {
@@ -47,15 +50,12 @@
   QCoro::Task<void> Advance(InstanceId instance);
   QCoro::Task<void> OrderMaintenance(InstanceId instance);
   QCoro::Task<void> FinishWaves();
-  const Instance* Find(const InstanceId& id) const;
 
   PoolOwner& m_owner;
   FleetContext& m_context;
+  InstanceDirectory& m_directory;
   UpkeepLedger m_ledger;
   TimePoint m_first_order_at{};  // Leaves the previous owner's orders time to pass.
-  std::vector<Instance> m_instances;
-  TimePoint m_listed_at{};
-  bool m_listed = false;
   std::map<int64_t, OpenWave> m_waves;
   std::set<int64_t> m_finished_waves;
   std::map<InstanceId, Duty> m_duties;
--- /dev/null
+++ b/src/fleet/pool/internal/instance_mover.cc
@@ -0,0 +1,192 @@
+#include "fleet/pool/internal/instance_mover.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "fleet/pool/internal/pool_owner.h"
+#include "fleet/tables.h"
+#include "telemetry/log.h"
+
+namespace citronferry::fleet {
+namespace {
+
+using scheduling::ExecutorState;
+using scheduling::PoolDemand;
+
+constexpr Duration kLoopInterval = 100ms;
+// The need changes all the time; only differences that move an instance are written.
+constexpr double kWorthPublishing = 0.5;  // Instances.
+constexpr Duration kPublishInterval = 150ms;
+constexpr Duration kPublishTimeout = 1s;
+// From the order to the moment at which the receiving pool counts the instance as its own.
+constexpr Duration kTransit = 2700ms;
+// A newly arrived instance stays this long, so that two owners never take turns with it within the
+// least time between orders of two holders (3 s, of which the move itself takes 1.5 s).
+constexpr Duration kMinStay = 2500ms;
+constexpr Duration kMaxListAge = 3s;
+constexpr double kMillicores = 1000;
+
+}  // namespace
+
+InstanceMover::InstanceMover(PoolOwner& owner, InstanceDirectory& directory,
+                             std::function<bool(const InstanceId&)> busy)
+    : m_owner(owner),
+      m_context(owner.context()),
+      m_directory(directory),
+      m_busy(std::move(busy)),
+      m_first_order_at(owner.context().timers.Now() + owner.context().options.duty_holder_gap) {}
+
+void InstanceMover::ObserveArrival(double core_seconds) {
+  m_forecast.ObserveArrival(core_seconds, m_context.timers.Now());
+}
+
+void InstanceMover::NotePeers() {
+  const auto& demands = m_context.demands.Get();
+  if (!std::exchange(m_restored, true)) {
+    const auto own = demands.find(m_owner.pool());
+    if (own != demands.end()) m_forecast.Restore(own->second.pattern, own->second.surges);
+  }
+  for (const auto& [pool, demand] : demands) {
+    if (pool == m_owner.pool()) continue;
+    const auto known = m_peer_surges.find(pool);
+    if (known != m_peer_surges.end() && demand.surges > known->second) {
+      m_forecast.ObservePeerSurge(pool, m_context.timers.Now());
+    }
+    m_peer_surges[pool] = demand.surges;
+  }
+}
+
+bool InstanceMover::IsIdle(const scheduling::ExecutorId& id) const {
+  const ExecutorState* executor = m_owner.scheduler().FindExecutor(id);
+  if (!executor || !executor->listed || executor->info.leaving || executor->retiring) return false;
+  const TimePoint now = m_context.timers.Now();
+  return executor->in_touch && executor->runs.empty() &&
+         now - executor->listed_at.value_or(now) >= kMinStay;
+}
+
+std::vector<const Instance*> InstanceMover::Movable() const {
+  std::vector<const Instance*> movable;
+  const Pool* pool = m_context.configuration.Get().FindPool(m_owner.pool());
+  // Only instances of a standby pool are off; elsewhere one without an executor is on its way.
+  const bool standby = pool && pool->standby;
+  for (const Instance& instance : m_directory.instances()) {
+    if (instance.pool != m_owner.pool() || instance.state != InstanceState::kUp) continue;
+    if (m_departures.contains(instance.id) || m_busy(instance.id)) continue;
+    if (standby || IsIdle(instance.executor)) movable.push_back(&instance);
+  }
+  return movable;
+}
+
+PoolDemand InstanceMover::Describe() {
+  const TimePoint now = m_context.timers.Now();
+  const Pool* pool = m_context.configuration.Get().FindPool(m_owner.pool());
+  PoolDemand demand{.pool = m_owner.pool(), .standby = pool && pool->standby};
+  double capacity = 0;
+  double used = 0;
+  for (const auto& [id, executor] : m_owner.scheduler().executors()) {
+    if (!executor.listed || executor.info.leaving || executor.retiring) continue;
+    ++demand.instances;
+    capacity += static_cast<double>(executor.info.capacity.cpu_millicores) / kMillicores;
+    used += static_cast<double>(executor.used.cpu_millicores) / kMillicores;
+    if (IsIdle(id)) ++demand.movable;
+  }
+  m_forecast.Update(capacity, now);
+  if (demand.standby) {
+    demand.movable = demand.instances = static_cast<int>(Movable().size());
+  } else if (demand.instances > 0) {
+    demand.cores_per_instance = std::round(capacity / demand.instances);
+  }
+  const double lasting = m_owner.scheduler().lasting_cores();
+  demand.wanted_cores = std::max(used + m_owner.scheduler().waiting_cores(),
+                                 lasting + m_forecast.ExpectedCores(now));
+  std::erase_if(m_departures,
+                [&](const auto& entry) { return now - entry.second.ordered_at > kTransit; });
+  for (const auto& [instance, departure] : m_departures) ++demand.departing[departure.to];
+  demand.surges = m_forecast.surges();
+  if (m_forecast.pattern()) demand.pattern = *m_forecast.pattern();
+  return demand;
+}
+
+QCoro::Task<void> InstanceMover::Publish(PoolDemand demand) {
+  const TimePoint now = m_context.timers.Now();
+  if (m_published) {
+    PoolDemand rounded = demand;
+    const double step = std::max(1.0, kWorthPublishing * demand.cores_per_instance);
+    if (std::abs(demand.wanted_cores - m_published->wanted_cores) < step) {
+      rounded.wanted_cores = m_published->wanted_cores;
+    }
+    if (rounded == *m_published || now - m_published_at < kPublishInterval) co_return;
+  }
+  Transaction transaction{
+      .puts = {{.key = DemandKey(demand.pool), .value = EncodeDemand(demand)}}};
+  const TransactionResult result =
+      co_await m_context.backends.rows.Transact(std::move(transaction), kPublishTimeout);
+  if (result.outcome != TransactionOutcome::kApplied) co_return;
+  m_published = std::move(demand);
+  m_published_at = now;
+}
+
+QCoro::Task<void> InstanceMover::MoveOne(InstanceId instance, scheduling::ExecutorId executor,
+                                         PoolName to) {
+  if (!m_owner.may_order()) co_return;
+  // Nothing new is placed there while the order is on its way.
+  m_owner.scheduler().SetRetiring(executor, true);
+  m_departures[instance] = {.to = to, .ordered_at = m_context.timers.Now()};
+  const DutyAuthority authority{.holder = m_context.options.name,
+                                .fencing_token = m_owner.newest_version()};
+  const DutyOutcome outcome = co_await m_context.backends.instances.Move(instance, to, authority);
+  Log(LogLevel::kInfo, "instance_moved",
+      {{"pool", m_owner.pool().view()},
+       {"to", to.view()},
+       {"instance", instance.view()},
+       {"executor", executor.view()},
+       {"token", authority.fencing_token},
+       {"outcome", static_cast<int>(outcome)}});
+  m_directory.Expire();
+  if (outcome == DutyOutcome::kAccepted) {
+    m_owner.scheduler().OnExecutorGone(executor, m_context.timers.Now());
+    co_return;
+  }
+  m_owner.scheduler().SetRetiring(executor, outcome == DutyOutcome::kUnknown);
+  if (outcome != DutyOutcome::kUnknown) m_departures.erase(instance);
+}
+
+QCoro::Task<void> InstanceMover::CarryOut() {
+  std::vector<PoolDemand> demands;
+  for (const auto& [pool, demand] : m_context.demands.Get()) {
+    if (pool != m_owner.pool()) demands.push_back(demand);
+  }
+  demands.push_back(Describe());
+  for (const scheduling::PlannedMove& move : scheduling::PlanMoves(demands)) {
+    if (move.from != m_owner.pool()) continue;
+    co_await m_directory.Refresh(kMaxListAge);
+    std::vector<std::pair<InstanceId, scheduling::ExecutorId>> chosen;
+    for (const Instance* instance : Movable()) {
+      if (static_cast<int>(chosen.size()) < move.count) {
+        chosen.emplace_back(instance->id, instance->executor);
+      }
+    }
+    if (static_cast<int>(chosen.size()) < move.count) m_directory.Expire();
+    for (const auto& [instance, executor] : chosen) {
+      if (m_owner.ended().requested()) co_return;
+      // The answer of the previous order took time in which work may have come.
+      if (executor.empty() || IsIdle(executor)) co_await MoveOne(instance, executor, move.to);
+    }
+  }
+}
+
+QCoro::Task<void> InstanceMover::Run() {
+  StopSignal& ended = m_owner.ended();
+  while (!ended.requested()) {
+    co_await SleepFor(m_context.timers, kLoopInterval, &ended);
+    if (ended.requested()) co_return;
+    NotePeers();
+    const Pool* pool = m_context.configuration.Get().FindPool(m_owner.pool());
+    if (pool && pool->standby) co_await m_directory.Refresh(kMaxListAge);
+    co_await Publish(Describe());
+    if (m_context.timers.Now() >= m_first_order_at && m_owner.may_order()) co_await CarryOut();
+  }
+}
+
+}  // namespace citronferry::fleet
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -7,6 +7,7 @@
 #include "fleet/backoff.h"
 #include "fleet/pool/internal/executor_link.h"
 #include "fleet/pool/internal/instance_duties.h"
+#include "fleet/pool/internal/instance_mover.h"
 #include "fleet/tables.h"
 #include "telemetry/log.h"
 
@@ -39,7 +40,10 @@
 }  // namespace
 
 PoolOwner::PoolOwner(FleetContext& context, PoolName pool, Ownership ownership)
-    : m_context(context), m_pool(std::move(pool)), m_ownership(ownership) {
+    : m_context(context),
+      m_pool(std::move(pool)),
+      m_ownership(ownership),
+      m_directory(context) {
   const Duration bound =
       FromSeconds(ToSeconds(context.options.executor_lease) / kSlowClock) + kLeaseMargin;
   m_scheduler = std::make_unique<PoolScheduler>(
@@ -49,6 +53,9 @@
                                    .final_retention = context.options.status_retention});
   m_commits = std::make_unique<CommitLog>(context, m_pool, ownership.epoch, ownership.acquired_at,
                                           *m_scheduler, [this] { Pump(); });
+  m_duties = std::make_unique<InstanceDuties>(*this, m_directory);
+  m_mover = std::make_unique<InstanceMover>(
+      *this, m_directory, [this](const InstanceId& instance) { return m_duties->Has(instance); });
 }
 
 PoolOwner::~PoolOwner() = default;
@@ -75,8 +82,8 @@
   SyncLinks();
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return FollowJobs(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return Tick(); });
-  m_duties = std::make_unique<InstanceDuties>(*this);
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_duties->Run(); });
+  m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_mover->Run(); });
   Subscription stopping = stop.Subscribe([this] { End(MakeOk()); });
   Ret committed = co_await m_commits->Run(m_ended);
   if (!committed.ok()) End(committed);
@@ -199,6 +206,7 @@
         std::make_shared<scheduling::JobDefinition>(std::move(job).value());
     WriteNewJob(*definition);
     m_scheduler->AddJob(definition, nullptr, now, inherited);
+    m_mover->ObserveArrival(m_scheduler->WorkOf(*definition));
   }
 }
 
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -8,6 +8,7 @@
 #include "decisions/scheduling/pool_scheduler.h"
 #include "fleet/fleet_context.h"
 #include "fleet/pool/internal/commit_log.h"
+#include "fleet/pool/internal/instance_directory.h"
 #include "supervision/awaitables.h"
 #include "supervision/task_scope.h"
 
@@ -15,6 +16,7 @@
 
 class ExecutorLink;
 class InstanceDuties;
+class InstanceMover;
 
 /// A candidate takes a pool over when its owner has not committed for this long while the store
 /// answered. It covers an owner's lease (kOwnerLease) and clocks that differ a little.
@@ -69,7 +71,9 @@
   std::unique_ptr<scheduling::PoolScheduler> m_scheduler;
   std::unique_ptr<CommitLog> m_commits;
   std::map<scheduling::ExecutorId, std::unique_ptr<ExecutorLink>> m_links;
+  InstanceDirectory m_directory;
   std::unique_ptr<InstanceDuties> m_duties;
+  std::unique_ptr<InstanceMover> m_mover;
   std::set<scheduling::ExecutorId> m_listed;
   int64_t m_jobs_version = 0;
   StopSignal m_ended;
--- a/src/fleet/tables.h
+++ b/src/fleet/tables.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "base/ret.h"
+#include "decisions/scheduling/move_planner.h"
 #include "decisions/scheduling/pool_scheduler.h"
 #include "decisions/scheduling/types.h"
 #include "fleet/interfaces/row_store.h"
@@ -21,11 +22,13 @@
 RowKey ProgressKey(const PoolName& pool, const JobId& job);
 RowKey QueueKey(const PoolName& pool, const QueueName& queue);
 RowKey UpkeepKey(int64_t wave);
+RowKey DemandKey(const PoolName& pool);
 
 inline constexpr const char* kOwnersTable = "owners";
 inline constexpr const char* kLinksTable = "links";
 inline constexpr const char* kProgressTable = "progress";
 inline constexpr const char* kQueuesTable = "queues";
+inline constexpr const char* kDemandTable = "demand";  ///< Also the name of its one partition.
 /// @return the table of a pool's definitions and cancellations. Each pool has its own, since a feed
 ///   covers a whole table.
 std::string JobsTable(const PoolName& pool);
@@ -49,6 +52,8 @@
 RetVal<scheduling::LinkRecord> DecodeLink(const scheduling::ExecutorId& id, std::string_view text);
 std::string EncodeQueue(const scheduling::QueueSummary& queue);
 RetVal<scheduling::QueueSummary> DecodeQueue(const QueueName& name, std::string_view text);
+std::string EncodeDemand(const scheduling::PoolDemand& demand);
+RetVal<scheduling::PoolDemand> DecodeDemand(const PoolName& pool, std::string_view text);
 
 }  // namespace citronferry::fleet
 
--- a/src/fleet/watch/watchers.h
+++ b/src/fleet/watch/watchers.h
@@ -10,6 +10,8 @@
 ChildSpec MakeOperatorWatcher(FleetContext& context);
 /// Keeps the registry of executors up to date while this entry owns a pool.
 ChildSpec MakeRegistryWatcher(FleetContext& context);
+/// Follows what the pools need while this entry owns one of them.
+ChildSpec MakeDemandWatcher(FleetContext& context);
 /// Observes who owns each pool.
 ChildSpec MakeOwnerWatcher(FleetContext& context);
 
