--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -98,7 +98,6 @@
                            const JobProgress* progress, TimePoint accepted_at, bool inherited) {
   const JobId id = definition->id;
   if (m_jobs.contains(id)) return;
-  m_ranking.LearnJob(*definition);
   auto job = std::make_unique<Job>(std::move(definition), accepted_at, inherited);
   if (progress) job->Restore(*progress);
   if (job->is_final()) {
@@ -280,7 +279,9 @@
 
 void PoolScheduler::OnNoAnswer(const ExecutorId& id) {
   ExecutorState* executor = FindExecutor(id);
-  if (!executor || !executor->in_touch) return;
+  if (!executor) return;
+  if (!std::exchange(executor->tried, true)) m_plan_needed = true;
+  if (!executor->in_touch) return;
   executor->in_touch = false;
   Note("executor_silent", {}, 0, id);
 }
@@ -365,9 +366,11 @@
   }
 }
 
-bool PoolScheduler::TakeoverUnresolved() const {
-  return std::any_of(m_executors.begin(), m_executors.end(), [](const auto& entry) {
-    return entry.second.inherited && !entry.second.reported;
+bool PoolScheduler::TakeoverUnresolved(const StepSpec& spec) const {
+  // A copy may run beside one on a silent executor, but not after an end that only needs asking for.
+  return std::any_of(m_executors.begin(), m_executors.end(), [&](const auto& entry) {
+    const ExecutorState& executor = entry.second;
+    return executor.inherited && !executor.reported && !(spec.copies_allowed && executor.tried);
   });
 }
 
@@ -424,7 +427,6 @@
   m_waiting_cores = 0;
   std::vector<Candidate> candidates = MakeCandidates(now);
   Placer placer(candidates, now);
-  const bool unresolved = TakeoverUnresolved();
   int missed_steps = 0;
   for (const PlanningJob& entry : RankJobs(now)) {
     Job& job = *entry.job;
@@ -433,7 +435,7 @@
         const StepSpec& spec = job.spec(static_cast<int>(step));
         if (!Job::IsReady(occurrence.steps[step])) continue;
         // A previous owner may have started this task on an executor that has not answered yet.
-        if (job.inherited() && unresolved && !spec.copies_allowed) continue;
+        if (job.inherited() && TakeoverUnresolved(spec)) continue;
         if (missed_steps >= kMaxMissedSteps && !spec.lasting) continue;
         if (!PlaceStep(job, number, static_cast<int>(step), placer, now)) ++missed_steps;
       }
--- a/src/decisions/scheduling/internal/ranking.cc
+++ b/src/decisions/scheduling/internal/ranking.cc
@@ -6,14 +6,8 @@
 namespace citronferry::scheduling {
 namespace {
 
-// Value of a job as the users state it: a fixed part and one that grows with its work against the
-// mean of its queue, up to a bound.
-constexpr double kFixedValue = 0.3;
-constexpr double kValueOfMeanWork = 0.7;
-constexpr double kMaxValue = 4;
 // Beyond this many times the objective a job is worth nothing.
 constexpr int kLateFactor = 3;
-constexpr double kMinCoreSeconds = 1e-3;  // Keeps the ratio finite.
 
 // Adds one occurrence; done_tasks(step) gives the finished tasks of a step.
 template <typename DoneTasks>
@@ -51,35 +45,28 @@
   return work;
 }
 
-void JobRanking::LearnJob(const JobDefinition& definition) {
-  Mean& mean = m_job_work[definition.queue];
-  mean.sum += EstimateWhole(definition, m_durations).core_seconds;
-  mean.count += 1;
-}
-
 Duration JobRanking::Objective(const JobDefinition& definition, const QueuePolicy& queue) const {
   const Duration chain = EstimateWhole(definition, m_durations).longest_chain;
   return FromSeconds(ToSeconds(chain) * queue.latency_multiplier) + queue.target_latency;
 }
 
 Rank JobRanking::RankOf(const Job& job, const QueuePolicy& queue, TimePoint now) const {
-  Rank rank{.lasting = job.lasting() ? 0 : 1, .priority = queue.priority};
-  const RemainingWork left = EstimateRemaining(job, m_durations);
+  Rank rank{.lasting = job.lasting() ? 0 : 1,
+            .priority = queue.priority,
+            .begun = job.state() == JobState::kQueued ? 1 : 0};
   const Duration objective = Objective(*job.definition(), queue);
-  const TimePoint end = now + left.longest_chain;
-  if (end > job.accepted_at() + objective * kLateFactor) {
-    rank.timeliness = Timeliness::kLost;
-  } else if (end > job.accepted_at() + objective) {
+  const TimePoint end = now + EstimateRemaining(job, m_durations).longest_chain;
+  const Duration slack = job.accepted_at() + objective - end;
+  const Duration late_slack = job.accepted_at() + objective * kLateFactor - end;
+  if (slack >= Duration::zero()) {
+    rank.order = EstimateRemaining(job, m_durations).core_seconds;
+  } else if (late_slack >= Duration::zero()) {
     rank.timeliness = Timeliness::kLate;
+    rank.order = ToSeconds(late_slack);
+  } else {
+    rank.timeliness = Timeliness::kLost;
+    rank.order = ToSeconds(late_slack);
   }
-  const double whole = EstimateWhole(*job.definition(), m_durations).core_seconds;
-  const auto found = m_job_work.find(queue.name);
-  const double mean = found == m_job_work.end() || found->second.count == 0
-                          ? whole
-                          : found->second.sum / found->second.count;
-  const double value =
-      std::min(kMaxValue, kFixedValue + kValueOfMeanWork * whole / std::max(mean, kMinCoreSeconds));
-  rank.negative_value_per_core_second = -value / std::max(left.core_seconds, kMinCoreSeconds);
   return rank;
 }
 
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -43,7 +43,7 @@
 
   if (!executor->in_touch) Note("executor_in_touch", {}, 0, id);
   if (!executor->in_touch || !executor->reported) m_plan_needed = true;
-  executor->in_touch = true;
+  executor->in_touch = executor->tried = true;
   executor->reported = true;
 }
 
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -176,7 +176,8 @@
   void Start(Job& job, const TaskId& id, Task& task, ExecutorState& executor, int64_t run,
              TimePoint now);
   bool Waits(const Task& task, const StepSpec& spec) const;
-  bool TakeoverUnresolved() const;
+  /// @return whether a previous owner may have started tasks that are not known yet.
+  bool TakeoverUnresolved(const StepSpec& spec) const;
   void ForgetOldJobs(TimePoint now);
   void RemoveEndedExecutors(TimePoint now);
   Resources CountedRequest(const Job& job, int step) const;
--- a/src/decisions/scheduling/ranking.h
+++ b/src/decisions/scheduling/ranking.h
@@ -1,8 +1,6 @@
 #ifndef CITRONFERRY_DECISIONS_SCHEDULING_RANKING_H_
 #define CITRONFERRY_DECISIONS_SCHEDULING_RANKING_H_
 
-#include <map>
-#include <span>
 #include <tuple>
 
 #include "base/time.h"
@@ -35,19 +33,19 @@
 ///
 /// Load pattern: a surge of several times the pool's capacity for some seconds, then a trough. First
 /// come, first served makes nearly every job of the surge late. Instead, jobs that can still be in
-/// time go first, by what they earn for each core-second that is left of them, so that jobs that
-/// have begun end; late ones follow and are done in the trough.
+/// time go first: those that have begun, so that they end, then those for which most time is left,
+/// whose estimates may be wrong without harm. Large and small jobs are treated alike. Late jobs
+/// follow and are done in the trough, those first that would be lost first.
 struct Rank {
   int lasting = 1;  ///< 0 for tasks that last: they are owed at any time.
   int priority = 0;
   Timeliness timeliness = Timeliness::kInTime;
-  double negative_value_per_core_second = 0;
+  int begun = 1;  ///< 0 if tasks have been started.
+  double order = 0;
 
   friend bool operator<(const Rank& left, const Rank& right) {
-    return std::tie(left.lasting, left.priority, left.timeliness,
-                    left.negative_value_per_core_second) <
-           std::tie(right.lasting, right.priority, right.timeliness,
-                    right.negative_value_per_core_second);
+    return std::tie(left.lasting, left.priority, left.timeliness, left.begun, left.order) <
+           std::tie(right.lasting, right.priority, right.timeliness, right.begun, right.order);
   }
 };
 
@@ -56,21 +54,13 @@
  public:
   explicit JobRanking(const DurationModel& durations) : m_durations(durations) {}
 
-  /// Learns the mean size of a queue's jobs.
-  void LearnJob(const JobDefinition& definition);
   /// @param now when the tasks would start.
   Rank RankOf(const Job& job, const QueuePolicy& queue, TimePoint now) const;
   /// @return the longest time from acceptance to the end with which a job is in time.
   Duration Objective(const JobDefinition& definition, const QueuePolicy& queue) const;
 
  private:
-  struct Mean {
-    double sum = 0;
-    double count = 0;
-  };
-
   const DurationModel& m_durations;
-  std::map<QueueName, Mean> m_job_work;  // Core-seconds.
 };
 
 }  // namespace citronferry::scheduling
