--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -545,9 +545,12 @@
                                          .steps[static_cast<size_t>(ref.task.step)]
                                          .tasks;
     constexpr int kAtWork = 100;  // Percent.
-    const auto at_work = [](const Task& task) {
-      return std::any_of(task.runs.begin(), task.runs.end(), [](const Run& run) {
-        return run.phase == RunPhase::kRunning && run.percent >= kAtWork;
+    // What runs on a silent executor may have ended long ago.
+    const auto at_work = [this](const Task& task) {
+      return std::any_of(task.runs.begin(), task.runs.end(), [this](const Run& run) {
+        const auto executor = m_executors.find(run.executor);
+        return run.phase == RunPhase::kRunning && run.percent >= kAtWork &&
+               executor != m_executors.end() && executor->second.in_touch;
       });
     };
     const Task& own = tasks[static_cast<size_t>(ref.task.index)];
--- a/src/fleet/entry/internal/job_gate.cc
+++ b/src/fleet/entry/internal/job_gate.cc
@@ -10,8 +10,9 @@
 namespace citronferry::fleet {
 namespace {
 
-// Rows of one transaction, below the store's bound of one megabyte with the largest payloads.
-constexpr size_t kMaxBatch = 60;
+// Each job takes a condition and a put. The largest payloads stay below the store's bound of one
+// megabyte.
+constexpr size_t kMaxBatch = kMaxTransactionEntries / 2;
 // Two attempts fit into a client's usual three seconds.
 constexpr Duration kWriteTimeout = 1100ms;
 constexpr Duration kFirstRetry = 30ms;
--- a/src/fleet/interfaces/row_store.h
+++ b/src/fleet/interfaces/row_store.h
@@ -42,8 +42,8 @@
   std::vector<RowKey> removals;
 };
 
-/// Most rows in one transaction.
-inline constexpr size_t kMaxTransactionRows = 100;
+/// Most conditions, puts and removals together in one transaction.
+inline constexpr size_t kMaxTransactionEntries = 100;
 
 enum class TransactionOutcome {
   kApplied,
--- a/src/fleet/pool/internal/commit_log.cc
+++ b/src/fleet/pool/internal/commit_log.cc
@@ -19,8 +19,8 @@
 constexpr Duration kCommitTimeout = 1s;
 constexpr Duration kFirstRetry = 30ms;
 constexpr Duration kLongestRetry = 300ms;
-// The owner row takes one of the rows.
-constexpr size_t kMaxBatchRows = kMaxTransactionRows - 1;
+// The owner row takes two entries: its condition and its new value.
+constexpr size_t kMaxBatchRows = kMaxTransactionEntries - 2;
 constexpr Duration kGiveUpTime = 1500ms;
 
 }  // namespace
