--- a/src/cli/internal/fleet_command.cc
+++ b/src/cli/internal/fleet_command.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <QCoreApplication>
 #include <algorithm>
 #include <cstdlib>
@@ -59,10 +61,11 @@
     std::cerr << "citronferry fleet: unknown log level\n";
     return kExitUsage;
   }
-  InitLogging(*level, std::cout);
+  InitBoundedLogging(*level, STDOUT_FILENO);
   const auto settings = ReadSettings();
   if (!settings.ok()) {
     Log(LogLevel::kError, "settings_invalid", {{"error", settings.ret().message()}});
+    FlushLog();
     return kExitInvalid;
   }
   // The GLib event loop brings nothing here and costs memory.
@@ -82,6 +85,7 @@
     if (changed.ok()) return;
     Log(LogLevel::kError, "settings_invalid", {{"error", changed.ret().message()}});
   });
+  FlushLog();
   return result.ok() ? kExitOk : kExitFailure;
 }
 
--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -53,12 +53,13 @@
   bool retiring = false;       ///< It is emptied for maintenance or a move.
   std::optional<TimePoint> unlisted_since;
   std::optional<TimePoint> listed_at;
-  int64_t applied_end = 0;     ///< The last end that was taken into account.
-  int64_t durable_end = 0;     ///< The last end whose effect is durable.
+  int64_t applied_end = 0;  ///< The last end that was taken into account.
+  int64_t durable_end = 0;  ///< The last end whose effect is durable.
   Resources used;
   std::vector<RunRef> runs;
-  TimePoint lease_bound{};     ///< Nothing runs there after this, unless the lease is extended.
+  TimePoint lease_bound{};  ///< Nothing runs there after this, unless the lease is extended.
   TimePoint no_room_until{};
+  int fill_pace_percent = 100;  ///< Share at which tasks on leftover CPU may work here.
   ExecutorHealth health;
 
   Resources free() const { return info.capacity - used; }
--- a/src/decisions/scheduling/internal/placement.cc
+++ b/src/decisions/scheduling/internal/placement.cc
@@ -22,9 +22,9 @@
 int Placer::CountOnExecutor(const Step& step, const ExecutorId& executor) {
   int count = 0;
   for (const Task& task : step.tasks) {
-    count += static_cast<int>(std::count_if(
-        task.runs.begin(), task.runs.end(),
-        [&](const Run& run) { return run.executor == executor; }));
+    count +=
+        static_cast<int>(std::count_if(task.runs.begin(), task.runs.end(),
+                                       [&](const Run& run) { return run.executor == executor; }));
   }
   return count;
 }
@@ -36,6 +36,7 @@
       std::find(info.labels.begin(), info.labels.end(), spec.required_label) == info.labels.end()) {
     return false;
   }
+  if (placement.needs_ticket && !placement.step.tickets.contains(info.id)) return false;
   return spec.max_per_executor <= 0 ||
          CountOnExecutor(placement.step, info.id) < spec.max_per_executor;
 }
@@ -52,10 +53,9 @@
   if (!spec.same_rack) return {};
   for (const Task& task : placement.step.tasks) {
     for (const Run& run : task.runs) {
-      const auto found =
-          std::find_if(m_candidates.begin(), m_candidates.end(), [&](const Candidate& candidate) {
-            return candidate.executor->info.id == run.executor;
-          });
+      const auto found = std::find_if(
+          m_candidates.begin(), m_candidates.end(),
+          [&](const Candidate& candidate) { return candidate.executor->info.id == run.executor; });
       if (found != m_candidates.end()) return found->executor->info.rack;
     }
   }
@@ -72,8 +72,8 @@
 }
 
 // Tasks of one step spread, so that the loss of an executor takes few of them. Beside that, lasting
-// tasks gather on few executors, and others fill the fullest one: whole executors stay free for wide
-// tasks, maintenance and moves.
+// tasks gather on few executors, and others fill the fullest one: whole executors stay free for
+// wide tasks, maintenance and moves.
 std::tuple<int, int, int64_t> Placer::LastingOrder(const Candidate& candidate, const Step& step) {
   return {CountOnExecutor(step, candidate.executor->info.id), -candidate.lasting_tasks,
           candidate.free.cpu_millicores};
@@ -95,8 +95,10 @@
       if (is_avoided) continue;
     } else if (best) {
       const bool better =
-          spec.lasting ? LastingOrder(candidate, placement.step) < LastingOrder(*best, placement.step)
-                       : candidate.free.cpu_millicores < best->free.cpu_millicores;
+          spec.uses_leftover_cpu ? candidate.free.cpu_millicores > best->free.cpu_millicores
+          : spec.lasting
+              ? LastingOrder(candidate, placement.step) < LastingOrder(*best, placement.step)
+              : candidate.free.cpu_millicores < best->free.cpu_millicores;
       if (!better) continue;
     }
     best = &candidate;
@@ -112,10 +114,14 @@
   const std::vector<Candidate> before = m_candidates;
   Step trial;  // Counts the members that were placed on each executor.
   trial.tasks.resize(placement.step.tasks.size());
+  trial.tickets = placement.step.tickets;
   std::vector<ExecutorState*> executors;
   for (Task& task : trial.tasks) {
-    ExecutorState* executor =
-        Place({.spec = placement.spec, .step = trial, .ready_since = placement.ready_since}, {});
+    ExecutorState* executor = Place({.spec = placement.spec,
+                                     .step = trial,
+                                     .ready_since = placement.ready_since,
+                                     .needs_ticket = placement.needs_ticket},
+                                    {});
     if (!executor) {
       m_candidates = before;
       return std::nullopt;
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -12,8 +12,13 @@
 constexpr Duration kStopRepeat = 500ms;
 // An executor refused for want of room: its own view is newer than ours until the next report.
 constexpr Duration kNoRoomPause = 100ms;
-// An entry that the registry lost while the store was away is back within two seconds of its return.
+// An entry that the registry lost while the store was away is back within two seconds of its
+// return.
 constexpr Duration kUnlistedGrace = 5s;
+// The users count one call on 30 executors into a step's time.
+constexpr size_t kMaxAdvisedExecutors = 30;
+// Calls are handled one after the other, so some may wait before this one.
+constexpr Duration kAdviceSlack = 2s;
 // Steps in the order of rank that may fail to be placed before the pool counts as full.
 constexpr int kMaxMissedSteps = 40;
 
@@ -63,7 +68,9 @@
 
 void PoolScheduler::ListExecutor(const ExecutorDescription& info, TimePoint now) {
   const bool is_new = !m_executors.contains(info.id);
-  if (const ExecutorState* known = FindExecutor(info.id); known && known->listed && known->info == info) return;
+  if (const ExecutorState* known = FindExecutor(info.id);
+      known && known->listed && known->info == info)
+    return;
   ExecutorState& executor = m_executors[info.id];
   if (!is_new && info.born_unix_ms > executor.info.born_unix_ms &&
       executor.info.born_unix_ms != 0) {
@@ -151,16 +158,16 @@
   Job* job = FindJobMutable(id.job);
   Task* task = job ? job->FindTask(id) : nullptr;
   if (!task) return nullptr;
-  const auto found =
-      std::find_if(task->runs.begin(), task->runs.end(), [&](const Run& candidate) {
-        return candidate.id == run && candidate.executor == executor;
-      });
+  const auto found = std::find_if(task->runs.begin(), task->runs.end(), [&](const Run& candidate) {
+    return candidate.id == run && candidate.executor == executor;
+  });
   return found == task->runs.end() ? nullptr : &*found;
 }
 
 void PoolScheduler::RemoveRun(const TaskId& id, int64_t run, ExecutorState& executor) {
-  const auto ref = std::find_if(executor.runs.begin(), executor.runs.end(),
-                                [&](const RunRef& entry) { return entry.run == run && entry.task == id; });
+  const auto ref =
+      std::find_if(executor.runs.begin(), executor.runs.end(),
+                   [&](const RunRef& entry) { return entry.run == run && entry.task == id; });
   if (ref == executor.runs.end()) return;
   executor.used -= CountedRequest(*ref->job, id.step);
   if (Task* task = ref->job->FindTask(id)) {
@@ -249,8 +256,10 @@
     case StartAnswer::kMalformed:
       executor->health.Quarantine(now);
       break;
-    case StartAnswer::kDeadlinePassed:
     case StartAnswer::kTicketInvalid:
+      if (Step* step = FindStep(order.task)) step->tickets.erase(order.executor);
+      break;
+    case StartAnswer::kDeadlinePassed:
     case StartAnswer::kNotSent:
       break;
   }
@@ -367,7 +376,8 @@
 }
 
 bool PoolScheduler::TakeoverUnresolved(const StepSpec& spec) const {
-  // A copy may run beside one on a silent executor, but not after an end that only needs asking for.
+  // A copy may run beside one on a silent executor, but not after an end that only needs asking
+  // for.
   return std::any_of(m_executors.begin(), m_executors.end(), [&](const auto& entry) {
     const ExecutorState& executor = entry.second;
     return executor.inherited && !executor.reported && !(spec.copies_allowed && executor.tried);
@@ -379,9 +389,8 @@
   for (const auto& [id, executor] : m_executors) {
     if (!executor.Usable(now)) continue;
     const auto lasting =
-        std::count_if(executor.runs.begin(), executor.runs.end(), [](const RunRef& ref) {
-          return ref.job->spec(ref.task.step).lasting;
-        });
+        std::count_if(executor.runs.begin(), executor.runs.end(),
+                      [](const RunRef& ref) { return ref.job->spec(ref.task.step).lasting; });
     candidates.push_back({.executor = const_cast<ExecutorState*>(&executor),
                           .free = executor.free(),
                           .lasting_tasks = static_cast<int>(lasting)});
@@ -449,7 +458,14 @@
   Step& step = job.occurrences().at(occurrence).steps[static_cast<size_t>(step_index)];
   const StepSpec& spec = job.spec(step_index);
   if (!step.ready_since) step.ready_since = now;
-  const StepPlacement placement{.spec = spec, .step = step, .ready_since = *step.ready_since};
+  const StepPlacement placement{.spec = spec,
+                                .step = step,
+                                .ready_since = *step.ready_since,
+                                .needs_ticket = NeedsTicket(job)};
+  // Without a valid ticket the executors would reject every start.
+  if (placement.needs_ticket && (!step.tickets_valid_until || *step.tickets_valid_until <= now)) {
+    return true;
+  }
   const double cores = static_cast<double>(spec.request.cpu_millicores) / 1000;
   TaskId id{.job = job.id(), .occurrence = occurrence, .step = step_index};
 
@@ -490,10 +506,8 @@
 
 void PoolScheduler::Start(Job& job, const TaskId& id, Task& task, ExecutorState& executor,
                           int64_t run, TimePoint now) {
-  task.runs.push_back({.id = run,
-                       .executor = executor.info.id,
-                       .ordered_at = now,
-                       .percent_changed_at = now});
+  task.runs.push_back(
+      {.id = run, .executor = executor.info.id, .ordered_at = now, .percent_changed_at = now});
   executor.runs.push_back({.job = &job, .task = id, .run = run});
   executor.used += CountedRequest(job, id.step);
   job.MarkBegun();
@@ -501,11 +515,83 @@
       job.spec(id.step).all_at_once
           ? job.FindTask({.job = id.job, .occurrence = id.occurrence, .step = id.step})->checkpoint
           : task.checkpoint;
-  m_orders.starts.push_back({.executor = executor.info.id,
-                             .task = id,
-                             .run = run,
-                             .definition = job.definition(),
-                             .checkpoint = checkpoint});
+  const Step& step = *FindStep(id);
+  const auto ticket = step.tickets.find(executor.info.id);
+  m_orders.starts.push_back(
+      {.executor = executor.info.id,
+       .task = id,
+       .run = run,
+       .definition = job.definition(),
+       .checkpoint = checkpoint,
+       .ticket = ticket == step.tickets.end() ? std::string() : ticket->second});
+}
+
+Step* PoolScheduler::FindStep(const TaskId& id) {
+  Job* job = FindJobMutable(id.job);
+  if (!job) return nullptr;
+  const auto occurrence = job->occurrences().find(id.occurrence);
+  if (occurrence == job->occurrences().end()) return nullptr;
+  return &occurrence->second.steps[static_cast<size_t>(id.step)];
+}
+
+bool PoolScheduler::NeedsTicket(const Job& job) const {
+  const auto queue = m_queues.find(job.definition()->queue);
+  return queue != m_queues.end() && queue->second.needs_advice;
+}
+
+std::vector<TicketRequest> PoolScheduler::TakeTicketRequests(TimePoint now) {
+  std::vector<TicketRequest> requests;
+  for (const JobId& id : m_open_jobs) {
+    Job& job = *m_jobs.at(id);
+    if (!NeedsTicket(job)) continue;
+    const QueuePolicy& queue = m_queues.at(job.definition()->queue);
+    for (auto& [number, occurrence] : job.occurrences()) {
+      for (size_t i = 0; i < occurrence.steps.size(); ++i) {
+        Step& step = occurrence.steps[i];
+        const bool valid = step.tickets_valid_until && *step.tickets_valid_until > now;
+        const bool waits = std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
+          return Waits(task, job.spec(static_cast<int>(i)));
+        });
+        if (!Job::IsReady(step) || step.tickets_asked || !waits ||
+            (valid && !step.tickets.empty())) {
+          continue;
+        }
+        TicketRequest request{
+            .step = {.job = id, .occurrence = number, .step = static_cast<int>(i)}};
+        // The emptiest first; each one that is named costs the adviser time.
+        std::vector<const ExecutorState*> usable;
+        for (const auto& [name, executor] : m_executors) {
+          if (executor.Usable(now)) usable.push_back(&executor);
+        }
+        std::sort(usable.begin(), usable.end(), [](const auto* a, const auto* b) {
+          return a->free().cpu_millicores > b->free().cpu_millicores;
+        });
+        if (usable.size() > kMaxAdvisedExecutors) usable.resize(kMaxAdvisedExecutors);
+        if (usable.empty()) continue;
+        for (const ExecutorState* executor : usable) {
+          request.candidates.push_back(executor->info.id);
+        }
+        request.timeout =
+            queue.advice_delay +
+            queue.advice_per_executor * static_cast<int64_t>(request.candidates.size()) +
+            kAdviceSlack;
+        step.tickets_asked = true;
+        requests.push_back(std::move(request));
+      }
+    }
+  }
+  return requests;
+}
+
+void PoolScheduler::SetTickets(const TaskId& id, std::map<ExecutorId, std::string> tickets,
+                               TimePoint valid_until, TimePoint now) {
+  Step* step = FindStep(id);
+  if (!step) return;
+  step->tickets_asked = false;
+  step->tickets = std::move(tickets);
+  // An answer without a ticket is asked for again only after its time, not at once.
+  step->tickets_valid_until = step->tickets.empty() ? now : valid_until;
+  m_plan_needed = true;
 }
 
 double PoolScheduler::WorkOf(const JobDefinition& definition) const {
@@ -558,8 +644,7 @@
     const auto others_away = std::count_if(tasks.begin(), tasks.end(), [&](const Task& task) {
       return &task != &own && !at_work(task);
     });
-    const bool allowed =
-        spec.max_unavailable <= 0 || others_away + stopped < spec.max_unavailable;
+    const bool allowed = spec.max_unavailable <= 0 || others_away + stopped < spec.max_unavailable;
     const bool stopping = std::any_of(own.runs.begin(), own.runs.end(), [](const Run& run) {
       return run.phase == RunPhase::kStopping;
     });
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -14,6 +14,12 @@
 // A lasting task is at work after a short start-up.
 constexpr Duration kLastingStuckAfter = 5s;
 constexpr int kAtWorkPercent = 100;
+// Shares of a tail target. Reports come about once a second, and a tail may be over its target for
+// some seconds, so the pace is cut to nothing within three reports.
+constexpr double kNearTarget = 0.85;
+constexpr double kFarFromTarget = 0.6;
+constexpr int kPaceStep = 10;  // Percent.
+constexpr int kMinPace = 10;   // Percent; below it a task had better stand still.
 
 }  // namespace
 
@@ -39,6 +45,7 @@
     ApplyEnd(*executor, ended, now);
   }
   for (const ActiveRun& active : report.active) ApplyActive(*executor, active, now);
+  PaceFills(*executor);
   if (report.ended.size() < kMaxListedEnds) DropAbsentRuns(*executor, report, asked_at);
 
   if (!executor->in_touch) Note("executor_in_touch", {}, 0, id);
@@ -160,9 +167,8 @@
 void PoolScheduler::Adopt(ExecutorState& executor, Job& job, Task& task, const ActiveRun& active,
                           TimePoint now) {
   const StepSpec& spec = job.spec(active.task.step);
-  const bool wanted =
-      !job.is_final() && !task.done && (task.runs.empty() || spec.copies_allowed) &&
-      executor.inherited;
+  const bool wanted = !job.is_final() && !task.done && (task.runs.empty() || spec.copies_allowed) &&
+                      executor.inherited;
   task.runs.push_back({.id = active.run,
                        .executor = executor.info.id,
                        .phase = RunPhase::kRunning,
@@ -202,14 +208,55 @@
   m_plan_needed = true;
 }
 
+// Load pattern: tasks on leftover CPU slow down the tasks beside them that serve users, by amounts
+// that change within seconds. They are slowed at once when a tail comes near its target, and let go
+// in small steps.
+void PoolScheduler::PaceFills(ExecutorState& executor) {
+  double worst = 0;  // Tail against its target.
+  bool fills = false;
+  for (const RunRef& ref : executor.runs) {
+    const StepSpec& spec = ref.job->spec(ref.task.step);
+    fills |= spec.uses_leftover_cpu;
+    if (spec.tail_target <= Duration::zero()) continue;
+    const Run* run = FindRun(ref.task, ref.run, executor.info.id);
+    if (!run) continue;
+    worst = std::max(worst, run->figure / static_cast<double>(ToMilliseconds(spec.tail_target)));
+  }
+  if (!fills) {
+    executor.fill_pace_percent = 100;
+    return;
+  }
+  int& pace = executor.fill_pace_percent;
+  if (worst > 1) {
+    pace = pace / 4 < kMinPace ? 0 : pace / 4;
+  } else if (worst > kNearTarget) {
+    pace = pace / 2 < kMinPace ? 0 : pace / 2;
+  } else if (worst < kFarFromTarget) {
+    pace = std::min(100, pace + kPaceStep);
+  }
+  for (const RunRef& ref : executor.runs) {
+    if (!ref.job->spec(ref.task.step).uses_leftover_cpu) continue;
+    Run* run = FindRun(ref.task, ref.run, executor.info.id);
+    if (!run || run->phase != RunPhase::kRunning || run->pace_percent == pace) continue;
+    run->pace_percent = pace;
+    m_orders.paces.push_back(
+        {.executor = executor.info.id, .task = ref.task, .run = ref.run, .percent = pace});
+    m_plan_needed = true;
+  }
+}
+
+void PoolScheduler::OnPaceFailed(const PaceOrder& order) {
+  constexpr int kUnknownPace = -1;
+  if (Run* run = FindRun(order.task, order.run, order.executor)) run->pace_percent = kUnknownPace;
+}
+
 void PoolScheduler::DropAbsentRuns(ExecutorState& executor, const ExecutorReport& report,
                                    TimePoint asked_at) {
   for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
     const Run* run = FindRun(ref.task, ref.run, executor.info.id);
-    const bool listed =
-        std::any_of(report.active.begin(), report.active.end(), [&](const ActiveRun& active) {
-          return active.run == ref.run && active.task == ref.task;
-        });
+    const bool listed = std::any_of(
+        report.active.begin(), report.active.end(),
+        [&](const ActiveRun& active) { return active.run == ref.run && active.task == ref.task; });
     if (listed) continue;
     // A run of a job whose occurrence has ended is kept by the executor's list only.
     const bool gone = !run || (run->settled_at && *run->settled_at < asked_at);
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -15,7 +15,7 @@
 namespace citronferry::scheduling {
 
 enum class RunPhase {
-  kOrdered,   ///< The executor has not confirmed the start.
+  kOrdered,  ///< The executor has not confirmed the start.
   kRunning,
   kStopping,  ///< Takes up capacity until the executor lists its end.
 };
@@ -49,7 +49,10 @@
   std::vector<Task> tasks;
   int done_tasks = 0;
   int open_dependencies = 0;
-  std::optional<TimePoint> ready_since;  ///< Set by the scheduler.
+  std::optional<TimePoint> ready_since;       ///< Set by the scheduler.
+  std::map<ExecutorId, std::string> tickets;  ///< Leave of the placement adviser, if it is needed.
+  std::optional<TimePoint> tickets_valid_until;
+  bool tickets_asked = false;  ///< A call to the adviser is under way.
 };
 
 struct Occurrence {
--- a/src/decisions/scheduling/placement.h
+++ b/src/decisions/scheduling/placement.h
@@ -26,6 +26,7 @@
   const StepSpec& spec;
   const Step& step;
   TimePoint ready_since{};
+  bool needs_ticket = false;  ///< Only executors with a ticket of the adviser may be used.
 };
 
 /// Chooses executors for tasks.
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -62,6 +62,13 @@
   }
 };
 
+/// A step for which the placement adviser has to be asked.
+struct TicketRequest {
+  TaskId step;  ///< The index is not used.
+  std::vector<ExecutorId> candidates;
+  Duration timeout{};
+};
+
 /// A decision worth a log line.
 struct SchedulerNote {
   std::string event;
@@ -71,8 +78,8 @@
   std::string detail;
 };
 
-/// Places the tasks of one pool's jobs on its executors. It has no clock, socket or encoding: events
-/// go in with their time, orders and what must be durable come out.
+/// Places the tasks of one pool's jobs on its executors. It has no clock, socket or encoding:
+/// events go in with their time, orders and what must be durable come out.
 class PoolScheduler {
  public:
   explicit PoolScheduler(SchedulerOptions options);
@@ -124,6 +131,14 @@
   /// @return the lasting tasks of an executor that may be stopped now without taking more tasks of
   ///   a step out of service than its budget allows.
   std::vector<StopOrder> StopsWithinBudget(const ExecutorId& id) const;
+  /// @return the steps for which tickets are needed now; each is returned once until SetTickets.
+  std::vector<TicketRequest> TakeTicketRequests(TimePoint now);
+  /// Notes the adviser's answer for a step.
+  /// @param tickets by executor; empty if the call failed.
+  void SetTickets(const TaskId& step, std::map<ExecutorId, std::string> tickets,
+                  TimePoint valid_until, TimePoint now);
+  /// Notes that a pace order did not arrive, so that it is given again.
+  void OnPaceFailed(const PaceOrder& order);
   /// Starts or ends keeping new tasks off an executor.
   void SetRetiring(const ExecutorId& id, bool retiring);
   /// Orders a stop of a run and keeps its capacity taken until its end is listed.
@@ -153,6 +168,8 @@
   void ApplyActive(ExecutorState& executor, const ActiveRun& active, TimePoint now);
   void DropAbsentRuns(ExecutorState& executor, const ExecutorReport& report, TimePoint asked_at);
   void Adopt(ExecutorState& executor, Job& job, Task& task, const ActiveRun& active, TimePoint now);
+  void PaceFills(ExecutorState& executor);
+  Step* FindStep(const TaskId& id);
   void Watch(ExecutorState& executor, Job& job, Run& run, const ActiveRun& active, TimePoint now);
 
   Job* FindJobMutable(const JobId& id);
@@ -173,6 +190,7 @@
   std::vector<PlanningJob> RankJobs(TimePoint now) const;
   /// @return whether every task of the step that waits was placed.
   bool PlaceStep(Job& job, int occurrence, int step_index, Placer& placer, TimePoint now);
+  bool NeedsTicket(const Job& job) const;
   void Start(Job& job, const TaskId& id, Task& task, ExecutorState& executor, int64_t run,
              TimePoint now);
   bool Waits(const Task& task, const StepSpec& spec) const;
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -269,6 +269,79 @@
   for (const auto& [task, count] : pool.starts) EXPECT_EQ(count, 1);
 }
 
+// Guards against starts that executors reject because the queue's policy asks for a ticket.
+TEST(PoolSchedulerTest, StepOfAnAdvisedQueueWaitsForItsTickets) {
+  FakePool pool(3);
+  pool.Run(100ms);
+  const QueuePolicy queue{.name = QueueName("queue"),
+                          .pool = PoolName("pool"),
+                          .max_attempts = 3,
+                          .advice_delay = 50ms,
+                          .advice_per_executor = 1ms,
+                          .needs_advice = true};
+  pool.scheduler().SetQueues(std::span(&queue, 1));
+  pool.Submit(MakeJob("a", {MakeStep(2, 1000, 100ms)}));
+  pool.Run(100ms);
+  EXPECT_TRUE(pool.starts.empty());
+  const auto requests = pool.scheduler().TakeTicketRequests(pool.now());
+  ASSERT_EQ(requests.size(), 1u);
+  EXPECT_EQ(requests[0].candidates.size(), 3u);
+  EXPECT_TRUE(pool.scheduler().TakeTicketRequests(pool.now()).empty()) << "asked once at a time";
+  pool.scheduler().SetTickets(requests[0].step, {{ExecutorId("x1"), "ticket"}}, pool.now() + 1s,
+                              pool.now());
+  const Orders orders = pool.scheduler().Plan(pool.now());
+  ASSERT_EQ(orders.starts.size(), 2u);
+  for (const StartOrder& start : orders.starts) {
+    EXPECT_EQ(start.executor, ExecutorId("x1"));
+    EXPECT_EQ(start.ticket, "ticket");
+  }
+  // An invalid ticket is not used again.
+  pool.scheduler().OnStartAnswer(orders.starts[0], StartAnswer::kTicketInvalid, pool.now());
+  EXPECT_TRUE(pool.scheduler().Plan(pool.now()).starts.empty());
+  EXPECT_EQ(pool.scheduler().TakeTicketRequests(pool.now()).size(), 1u);
+}
+
+// Load pattern: a task on leftover CPU beside one that serves users, whose tail rises over its
+// target. Guards against harm that goes on for seconds.
+TEST(PoolSchedulerTest, TasksOnLeftoverCpuAreSlowedBeforeTheyHarm) {
+  FakePool pool(1);
+  StepSpec serving = MakeStep(1, 8000, 0s);
+  serving.lasting = true;
+  serving.tail_target = 40ms;
+  StepSpec fill = MakeStep(1, 8000, 60s);
+  fill.uses_leftover_cpu = true;
+  pool.Submit(MakeJob("serving", {serving}));
+  pool.Submit(MakeJob("fill", {fill}));
+  pool.Run(200ms);
+  const auto report_tail = [&](double tail_ms) {
+    ExecutorReport report{.born_unix_ms = 1000};
+    for (const auto& running : pool.executor("x0").running()) {
+      report.active.push_back({.task = running.task,
+                               .run = running.run,
+                               .percent = 100,
+                               .figure = running.lasting ? tail_ms : 4});
+    }
+    pool.scheduler().OnReport(ExecutorId("x0"), report, pool.now(), pool.now());
+    return pool.scheduler().Plan(pool.now()).paces;
+  };
+  EXPECT_TRUE(report_tail(10).empty());
+  int percent = 100;
+  for (int reports = 0; reports < 3; ++reports) {
+    const auto paces = report_tail(60);
+    ASSERT_EQ(paces.size(), 1u);
+    EXPECT_EQ(paces[0].task.job, JobId("fill"));
+    EXPECT_LT(paces[0].percent, percent);
+    percent = paces[0].percent;
+    if (percent == 0) break;
+  }
+  EXPECT_EQ(percent, 0);
+  const auto faster = report_tail(10);
+  ASSERT_EQ(faster.size(), 1u);
+  EXPECT_EQ(faster[0].percent, 10) << "let go in small steps";
+  pool.scheduler().OnPaceFailed(faster[0]);
+  EXPECT_EQ(report_tail(30).size(), 1u) << "an order that did not arrive is repeated";
+}
+
 // Guards against acknowledging an end whose job's progress did not fit into the same commit.
 TEST(PoolSchedulerTest, ACommitThatIsFullAcknowledgesNothing) {
   FakePool pool(4);
--- a/src/fleet/internal/fleet_node.cc
+++ b/src/fleet/internal/fleet_node.cc
@@ -19,6 +19,8 @@
 
 // The balancer asks once per second and stops new connections after two misses.
 constexpr Duration kDrainNotice = 2500ms;
+// Lines are written in groups; on call, a tenth of a second makes no difference.
+constexpr Duration kLogFlushInterval = 100ms;
 // Left of the grace time for ending.
 constexpr Duration kEndMargin = 2500ms;
 
@@ -54,6 +56,7 @@
   FleetContext context{
       .options = options, .timers = *timers, .metrics = metrics, .backends = backends};
   context.store_answered_at = timers->Now();
+  Subscription flush = timers->Subscribe(kLogFlushInterval, [] { FlushLog(); });
   Supervisor root = MakeRoot(context);
   TaskScope tasks;
   SignalListener signals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
--- a/src/fleet/pool/internal/commit_log.cc
+++ b/src/fleet/pool/internal/commit_log.cc
@@ -97,8 +97,13 @@
       co_await SleepFor(m_context.timers, backoff.Next(), stop);
       continue;
     }
-    if (lost) Log(LogLevel::kInfo, "commit_recovered", {{"pool", m_pool.view()}, {"commit", m_commit}});
+    if (lost)
+      Log(LogLevel::kInfo, "commit_recovered", {{"pool", m_pool.view()}, {"commit", m_commit}});
     m_context.store_answered_at = m_context.timers.Now();
+    m_context.metrics
+        .LatencyHistogram("citronferry_fleet_commit_seconds",
+                          "Time until an owner's commit was durable, with its repetitions.")
+        .Observe(ToSeconds(m_context.timers.Now() - first_sent_at));
     co_return MakeOk();
   }
 }
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -135,7 +135,9 @@
         break;
       case HoldOutcome::kFenced:
         Log(LogLevel::kWarning, "executor_fenced",
-            {{"pool", m_owner.pool().view()}, {"executor", m_id.view()}, {"epoch", m_owner.epoch()}});
+            {{"pool", m_owner.pool().view()},
+             {"executor", m_id.view()},
+             {"epoch", m_owner.epoch()}});
         break;
       case HoldOutcome::kNoAnswer:
         m_owner.scheduler().OnNoAnswer(m_id);
@@ -151,8 +153,8 @@
   Subscription closing = m_owner.ended().Subscribe([&queue] { queue.Close(); });
   while (auto queued = co_await queue.Next()) {
     if (m_owner.ended().requested()) co_return;
-    co_await std::visit(
-        [&](auto& order) { return Carry(std::move(order), queued->queued_at); }, queued->order);
+    co_await std::visit([&](auto& order) { return Carry(std::move(order), queued->queued_at); },
+                        queued->order);
   }
 }
 
@@ -194,7 +196,9 @@
   if (!m_owner.may_order()) co_return;
   const Ret ret = co_await m_owner.context().backends.executors.Pace(
       Address(), order, m_owner.epoch(), kOrderTimeout);
+  if (m_owner.ended().requested()) co_return;
   if (!ret.ok()) {
+    m_owner.scheduler().OnPaceFailed(order);
     Log(LogLevel::kWarning, "pace_failed",
         {{"executor", m_id.view()}, {"job", order.task.job.view()}, {"error", ret.message()}});
   }
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -18,6 +18,7 @@
 using scheduling::PoolScheduler;
 
 constexpr Duration kTickInterval = 100ms;
+constexpr int kTicksPerGaugeUpdate = 10;
 // Bounds how long a silent connection to the store delays new jobs.
 constexpr Duration kFollowWait = 700ms;
 // Jobs that come within this are planned together.
@@ -40,10 +41,7 @@
 }  // namespace
 
 PoolOwner::PoolOwner(FleetContext& context, PoolName pool, Ownership ownership)
-    : m_context(context),
-      m_pool(std::move(pool)),
-      m_ownership(ownership),
-      m_directory(context) {
+    : m_context(context), m_pool(std::move(pool)), m_ownership(ownership), m_directory(context) {
   const Duration bound =
       FromSeconds(ToSeconds(context.options.executor_lease) / kSlowClock) + kLeaseMargin;
   m_scheduler = std::make_unique<PoolScheduler>(
@@ -82,6 +80,7 @@
   SyncLinks();
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return FollowJobs(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return Tick(); });
+  m_tasks.Spawn([this]() -> QCoro::Task<void> { return AskAdviser(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_duties->Run(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_mover->Run(); });
   Subscription stopping = stop.Subscribe([this] { End(MakeOk()); });
@@ -92,7 +91,8 @@
   if (stop.requested()) co_await m_commits->GiveUp();
   const Ret joined = co_await m_tasks.Join(m_context.timers, kStopDeadline);
   if (!joined.ok()) {
-    Log(LogLevel::kError, "pool_tasks_left", {{"pool", m_pool.view()}, {"error", joined.message()}});
+    Log(LogLevel::kError, "pool_tasks_left",
+        {{"pool", m_pool.view()}, {"error", joined.message()}});
     // Tasks refer to this object, so it has to wait for them.
     while (m_tasks.running() > 0) co_await SleepFor(m_context.timers, kStopDeadline);
   }
@@ -202,8 +202,7 @@
           {{"job", row.key.key}, {"error", job.ret().message()}});
       continue;
     }
-    const auto definition =
-        std::make_shared<scheduling::JobDefinition>(std::move(job).value());
+    const auto definition = std::make_shared<scheduling::JobDefinition>(std::move(job).value());
     WriteNewJob(*definition);
     m_scheduler->AddJob(definition, nullptr, now, inherited);
     m_mover->ObserveArrival(m_scheduler->WorkOf(*definition));
@@ -264,15 +263,51 @@
 }
 
 QCoro::Task<void> PoolOwner::Tick() {
+  int ticks = 0;
   while (!m_ended.requested()) {
     co_await SleepFor(m_context.timers, kTickInterval, &m_ended);
     m_scheduler->Advance(m_context.timers.Now(), UnixMilliseconds());
     Pump();
+    if (++ticks % kTicksPerGaugeUpdate == 0) UpdateGauges();
+  }
+}
+
+// The adviser handles one call of an entry at a time, so the calls wait here in their order.
+QCoro::Task<void> PoolOwner::AskAdviser() {
+  Subscription closing = m_ended.Subscribe([this] { m_ticket_requests.Close(); });
+  Backoff backoff(kFirstRetry, kLongestRetry);
+  while (auto request = co_await m_ticket_requests.Next()) {
+    if (m_ended.requested()) co_return;
+    const TimePoint asked_at = m_context.timers.Now();
+    const auto advice = co_await m_context.backends.adviser.Advise(
+        request->step, request->candidates, request->timeout);
+    if (m_ended.requested()) co_return;
+    std::map<scheduling::ExecutorId, std::string> tickets;
+    if (advice.ok()) {
+      backoff.Reset();
+      for (const Ticket& ticket : advice->tickets) tickets[ticket.executor] = ticket.value;
+    }
+    Log(LogLevel::kInfo, "advice",
+        {{"pool", m_pool.view()},
+         {"request", request->step.job.view()},
+         {"step", request->step.step},
+         {"candidates", request->candidates.size()},
+         {"tickets", tickets.size()},
+         {"error", advice.ret().message()}});
+    if (tickets.empty()) co_await SleepFor(m_context.timers, backoff.Next(), &m_ended);
+    const TimePoint now = m_context.timers.Now();
+    // The validity may have begun when the adviser decided.
+    const TimePoint valid_until = advice.ok() ? asked_at + advice->validity : now;
+    m_scheduler->SetTickets(request->step, std::move(tickets), valid_until, now);
+    Pump();
   }
 }
 
 void PoolOwner::Pump() {
   if (m_ended.requested()) return;
+  for (auto& request : m_scheduler->TakeTicketRequests(m_context.timers.Now())) {
+    m_ticket_requests.Push(std::move(request));
+  }
   if (m_scheduler->plan_needed() && may_order()) {
     Orders orders = m_scheduler->Plan(m_context.timers.Now());
     for (auto& start : orders.starts) {
@@ -292,8 +327,33 @@
   if (m_scheduler->has_dirty()) m_commits->Wake();
 }
 
+void PoolOwner::UpdateGauges() {
+  const prometheus::Labels labels{{"pool", m_pool.str()}};
+  const auto set = [&](std::string_view name, std::string_view help, double value) {
+    m_context.metrics.Gauge(name, help, labels).Set(value);
+  };
+  const auto in_touch =
+      std::count_if(m_scheduler->executors().begin(), m_scheduler->executors().end(),
+                    [](const auto& entry) { return entry.second.in_touch; });
+  set("citronferry_fleet_open_jobs", "Jobs of an owned pool that are not final.",
+      static_cast<double>(m_scheduler->open_jobs()));
+  set("citronferry_fleet_waiting_cores", "Cores asked for by tasks that do not fit.",
+      m_scheduler->waiting_cores());
+  set("citronferry_fleet_executors_in_touch", "Executors that answered the last call.",
+      static_cast<double>(in_touch));
+  set("citronferry_fleet_lease_margin_seconds", "Time until the ownership is no longer trusted.",
+      ToSeconds(m_commits->valid_until() - m_context.timers.Now()));
+  m_context.metrics
+      .Gauge("citronferry_fleet_configuration_version", "Version of the configuration in force.")
+      .Set(static_cast<double>(m_context.configuration.Get().version));
+}
+
 void PoolOwner::WriteNotes() {
   for (const scheduling::SchedulerNote& note : m_scheduler->TakeNotes()) {
+    m_context.metrics
+        .Counter("citronferry_fleet_decisions_total", "Decisions of pool owners by event.",
+                 {{"event", note.event}})
+        .Increment();
     Log(LogLevel::kInfo, note.event,
         {{"pool", m_pool.view()},
          {"request", note.task.job.view()},
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -59,10 +59,12 @@
   QCoro::Task<Ret> Load();
   QCoro::Task<void> FollowJobs();
   QCoro::Task<void> Tick();
+  QCoro::Task<void> AskAdviser();
   void ApplyRows(std::span<const Row> rows, bool inherited);
   void ApplyRegistry();
   void ApplyConfiguration();
   void SyncLinks();
+  void UpdateGauges();
   void WriteNotes();
   void WriteNewJob(const scheduling::JobDefinition& job) const;
   void End(Ret reason);
@@ -78,6 +80,7 @@
   std::unique_ptr<InstanceMover> m_mover;
   std::set<scheduling::ExecutorId> m_listed;
   int64_t m_jobs_version = 0;
+  Mailbox<scheduling::TicketRequest> m_ticket_requests;
   StopSignal m_ended;
   Ret m_reason;
   Subscription m_registry_subscription;
--- a/src/telemetry/internal/log.cc
+++ b/src/telemetry/internal/log.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -12,6 +13,9 @@
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <memory>
+
+#include "telemetry/bounded_log_writer.h"
 
 namespace citronferry {
 namespace {
@@ -41,6 +45,24 @@
   AppendJsonString(out, text.data());
 }
 
+std::unique_ptr<BoundedLogWriter>& BoundedWriter() {
+  static std::unique_ptr<BoundedLogWriter> writer;
+  return writer;
+}
+
+/// Boost.Log backend that hands the lines to the bounded writer.
+class BoundedBackend
+    : public logging::sinks::basic_formatted_sink_backend<char,
+                                                          logging::sinks::synchronized_feeding> {
+ public:
+  // Boost.Log calls it by this name.
+  void consume(const logging::record_view&,  // NOLINT(readability-identifier-naming)
+               const string_type& line) {
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    BoundedWriter()->Append(line, std::chrono::duration_cast<Duration>(now));
+  }
+};
+
 struct ValueWriter {
   std::string& out;
   void operator()(std::string_view text) const { AppendJsonString(out, text); }
@@ -82,6 +104,19 @@
   logging::core::get()->add_sink(boost::make_shared<Sink>(backend));
 }
 
+void InitBoundedLogging(LogLevel level, int descriptor) {
+  MinimumLevel() = level;
+  BoundedWriter() = std::make_unique<BoundedLogWriter>(descriptor);
+  auto backend = boost::make_shared<BoundedBackend>();
+  logging::core::get()->remove_all_sinks();
+  logging::core::get()->add_sink(
+      boost::make_shared<logging::sinks::synchronous_sink<BoundedBackend>>(backend));
+}
+
+void FlushLog() {
+  if (BoundedWriter()) BoundedWriter()->Flush();
+}
+
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
   if (level < MinimumLevel()) return;
   std::string line = "{\"time\":";
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -35,6 +35,14 @@
 /// @param stream destination, which must outlive the process's logging.
 void InitLogging(LogLevel level, std::ostream& stream);
 
+/// Sets up logging that never waits for its reader: lines beyond a rate or a buffer are left out
+/// and counted. FlushLog has to be called from time to time.
+/// @param descriptor destination, such as that of standard output.
+void InitBoundedLogging(LogLevel level, int descriptor);
+
+/// Writes the lines that wait, as far as the reader takes them.
+void FlushLog();
+
 /// Writes one log line.
 /// @param event stable name of the event in snake_case, documented in docs/operations.md.
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
