End second attempts at their deadline; leave instances alone right after their arrival

An HTTP exchange whose kept-alive connection ended after the deadline was attempted again with a negative timer, which Qt does not start; when that connection hung, the exchange and the watcher waiting for it hung for good. The test hangs without the change. A move whose answer was lost also kept its executor out for ever; it is used again after the time of late orders. Ruled out: a stuck commit (the row stopped changing) and the takeover bound.

--- a/src/fleet/pool/internal/instance_directory.cc
+++ b/src/fleet/pool/internal/instance_directory.cc
@@ -27,6 +27,16 @@
   m_instances = std::move(listed).value();
   m_read_at = now;
   m_known = true;
+  for (const Instance& instance : m_instances) {
+    Residence& residence = m_residences[instance.id];
+    if (residence.pool != instance.pool) residence = {.pool = instance.pool, .since = now};
+  }
+}
+
+Duration InstanceDirectory::TimeInPool(const InstanceId& id, const PoolName& pool) const {
+  const auto found = m_residences.find(id);
+  if (found == m_residences.end() || found->second.pool != pool) return Duration::zero();
+  return m_context.timers.Now() - found->second.since;
 }
 
 const Instance* InstanceDirectory::Find(const InstanceId& id) const {
--- a/src/fleet/pool/internal/instance_directory.h
+++ b/src/fleet/pool/internal/instance_directory.h
@@ -1,6 +1,7 @@
 #ifndef CITRONFERRY_FLEET_POOL_INTERNAL_INSTANCE_DIRECTORY_H_
 #define CITRONFERRY_FLEET_POOL_INTERNAL_INSTANCE_DIRECTORY_H_
 
+#include <map>
 #include <vector>
 
 #include "fleet/fleet_context.h"
@@ -18,6 +19,10 @@
   /// Makes the next refresh read the list.
   void Expire() { m_expired = true; }
 
+  /// @return how long an instance has been seen in a pool. Another pool's owner gave the order that
+  ///   brought it there, so this bounds the time since that order.
+  Duration TimeInPool(const InstanceId& id, const PoolName& pool) const;
+
   bool known() const { return m_known; }
   TimePoint read_at() const { return m_read_at; }
   const std::vector<Instance>& instances() const { return m_instances; }
@@ -26,8 +31,14 @@
 
  private:
   FleetContext& m_context;
+  struct Residence {
+    PoolName pool;
+    TimePoint since{};
+  };
+
   std::vector<Instance> m_instances;
-  TimePoint m_read_at{};   // When the answer came.
+  std::map<InstanceId, Residence> m_residences;
+  TimePoint m_read_at{};  // When the answer came.
   TimePoint m_asked_at{};
   bool m_known = false;
   bool m_expired = true;
--- a/src/fleet/pool/internal/instance_duties.cc
+++ b/src/fleet/pool/internal/instance_duties.cc
@@ -93,11 +93,13 @@
     if (!instance || instance->pool != m_owner.pool() || open.progress.done.contains(id)) continue;
     ++state.open_instances;
     if (m_duties.contains(id) || instance->state != InstanceState::kUp) continue;
+    // Two owners must not take turns with an instance within this time.
+    if (m_directory.TimeInPool(id, m_owner.pool()) < m_context.options.duty_holder_gap) continue;
     // An instance that is off has no executor and nothing to drain.
     if (instance->executor.empty()) {
       if (static_cast<int>(m_duties.size()) >= open.wave.max_at_once) continue;
-      m_duties.emplace(id, Duty{.wave = open.wave.number,
-                                .place_taken = open.progress.out.contains(id)});
+      m_duties.emplace(
+          id, Duty{.wave = open.wave.number, .place_taken = open.progress.out.contains(id)});
       ++state.out_of_service;
       continue;
     }
@@ -105,16 +107,14 @@
     if (!executor || executor->info.leaving || !executor->listed) continue;
     // A previous owner took its place already; it goes on with that instance.
     if (open.progress.out.contains(id)) {
-      m_duties.emplace(id, Duty{.wave = open.wave.number,
-                                .executor = instance->executor,
-                                .place_taken = true});
+      m_duties.emplace(
+          id, Duty{.wave = open.wave.number, .executor = instance->executor, .place_taken = true});
       m_owner.scheduler().SetRetiring(instance->executor, true);
       continue;
     }
     const auto lasting = std::count_if(
-        executor->runs.begin(), executor->runs.end(), [](const scheduling::RunRef& ref) {
-          return ref.job->spec(ref.task.step).lasting;
-        });
+        executor->runs.begin(), executor->runs.end(),
+        [](const scheduling::RunRef& ref) { return ref.job->spec(ref.task.step).lasting; });
     candidates.push_back(
         {.instance = id,
          .cores = static_cast<double>(executor->info.capacity.cpu_millicores) / kMillicores,
@@ -142,8 +142,8 @@
   if (duty.phase == Phase::kOrdered) {
     // An instance that is off shows no executor after its maintenance either.
     const bool back = listed && listed->state == InstanceState::kUp &&
-                      (duty.executor.empty() || (!listed->executor.empty() &&
-                                                 listed->executor != duty.executor)) &&
+                      (duty.executor.empty() ||
+                       (!listed->executor.empty() && listed->executor != duty.executor)) &&
                       m_directory.read_at() > duty.ordered_at;
     if (listed && !back) co_return;
     const int64_t wave = duty.wave;
@@ -171,8 +171,7 @@
   }
   if (!executor->runs.empty()) {
     const TimePoint now = m_context.timers.Now();
-    for (const scheduling::StopOrder& stop :
-         m_owner.scheduler().StopsWithinBudget(duty.executor)) {
+    for (const scheduling::StopOrder& stop : m_owner.scheduler().StopsWithinBudget(duty.executor)) {
       m_owner.scheduler().StopRun(stop, now);
     }
     m_owner.Pump();
--- a/src/fleet/pool/internal/instance_mover.cc
+++ b/src/fleet/pool/internal/instance_mover.cc
@@ -21,10 +21,12 @@
 constexpr Duration kPublishTimeout = 1s;
 // From the order to the moment at which the receiving pool counts the instance as its own.
 constexpr Duration kTransit = 2700ms;
-// A newly arrived instance stays this long, so that two owners never take turns with it within the
-// least time between orders of two holders (3 s, of which the move itself takes 1.5 s).
+// New executors are counted as movable for the other pools after this, about when the list of
+// instances says so too.
 constexpr Duration kMinStay = 2500ms;
-constexpr Duration kMaxListAge = 3s;
+constexpr Duration kMaxListAge = 1500ms;
+// Orders without an answer are carried out up to this much later.
+constexpr Duration kLateOrders = 12s;
 constexpr double kMillicores = 1000;
 
 }  // namespace
@@ -73,6 +75,10 @@
   for (const Instance& instance : m_directory.instances()) {
     if (instance.pool != m_owner.pool() || instance.state != InstanceState::kUp) continue;
     if (m_departures.contains(instance.id) || m_busy(instance.id)) continue;
+    // Two owners must not take turns with an instance within this time.
+    if (m_directory.TimeInPool(instance.id, m_owner.pool()) < m_context.options.duty_holder_gap) {
+      continue;
+    }
     if (standby || IsIdle(instance.executor)) movable.push_back(&instance);
   }
   return movable;
@@ -147,8 +153,12 @@
     m_owner.scheduler().OnExecutorGone(executor, m_context.timers.Now());
     co_return;
   }
-  m_owner.scheduler().SetRetiring(executor, outcome == DutyOutcome::kUnknown);
-  if (outcome != DutyOutcome::kUnknown) m_departures.erase(instance);
+  if (outcome == DutyOutcome::kUnknown) {
+    // The order may still take effect; the executor is used again if it is there after that time.
+    co_await SleepFor(m_context.timers, kLateOrders, &m_owner.ended());
+  }
+  m_departures.erase(instance);
+  m_owner.scheduler().SetRetiring(executor, false);
 }
 
 QCoro::Task<void> InstanceMover::CarryOut() {
--- a/src/fleet/tests/fleet_fixture.h
+++ b/src/fleet/tests/fleet_fixture.h
@@ -29,6 +29,14 @@
     return std::move(*result);
   }
 
+  void Await(QCoro::Task<void> task) {
+    TaskScope scope;
+    scope.Spawn([&]() -> QCoro::Task<void> { co_await task; });
+    EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+  }
+
+  QCoro::Task<void> Wait(Duration duration) { co_await SleepFor(*m_timers, duration); }
+
   class NoAnnouncements : public Announcements {
    public:
     QCoro::Task<RetVal<OperatorChanges>> ReadOperator() override { co_return OperatorChanges{}; }
@@ -65,7 +73,8 @@
   class NoInstances : public Instances {
    public:
     QCoro::Task<RetVal<std::vector<Instance>>> List() override {
-      co_return std::vector<Instance>();
+      std::vector<Instance> copy = listed;
+      co_return copy;
     }
     QCoro::Task<DutyOutcome> Move(InstanceId, PoolName, DutyAuthority) override {
       co_return DutyOutcome::kUnknown;
@@ -73,6 +82,8 @@
     QCoro::Task<DutyOutcome> StartMaintenance(InstanceId, int64_t, DutyAuthority) override {
       co_return DutyOutcome::kUnknown;
     }
+
+    std::vector<Instance> listed;
   };
   class NoClients : public ClientProtocol {
    public:
--- a/src/fleet/tests/ownership_test.cc
+++ b/src/fleet/tests/ownership_test.cc
@@ -1,4 +1,5 @@
 #include "fleet/pool/internal/commit_log.h"
+#include "fleet/pool/internal/instance_directory.h"
 #include "fleet/pool/internal/pool_keeper.h"
 #include "fleet/pool/internal/pool_owner.h"
 #include "fleet/pool/internal/upkeep_ledger.h"
@@ -106,6 +107,25 @@
   EXPECT_EQ(progress->out.size(), 2u);
 }
 
+// Guards against ONE as seen on ndf-dakar trouble-3: the owners of two pools took turns with an
+// instance within a second, when it had just been parked or was due for maintenance.
+TEST_F(OwnershipTest, InstanceIsLeftAloneRightAfterItsArrival) {
+  const InstanceId instance("m-1");
+  m_instances.listed = {{.id = instance, .pool = PoolName("a"), .state = InstanceState::kUp}};
+  InstanceDirectory directory(m_context);
+  Await(directory.Refresh(Duration::zero()));
+  EXPECT_EQ(directory.TimeInPool(instance, PoolName("b")), Duration::zero());
+  const Duration before = directory.TimeInPool(instance, PoolName("a"));
+  m_instances.listed[0].pool = PoolName("b");
+  m_instances.listed[0].state = InstanceState::kMoving;
+  Await(Wait(350ms));
+  EXPECT_GT(directory.TimeInPool(instance, PoolName("a")), before);
+  directory.Expire();
+  Await(directory.Refresh(Duration::zero()));
+  EXPECT_EQ(directory.TimeInPool(instance, PoolName("a")), Duration::zero());
+  EXPECT_LT(directory.TimeInPool(instance, PoolName("b")), 300ms);
+}
+
 // Guards against rows that change their meaning on the way through the store.
 TEST_F(OwnershipTest, RowsComeBackAsTheyWere) {
   scheduling::StepSpec step{.replicas = 3,
--- a/src/http/internal/client.cc
+++ b/src/http/internal/client.cc
@@ -3,6 +3,7 @@
 #include <QElapsedTimer>
 #include <QHostAddress>
 #include <QUrl>
+#include <algorithm>
 #include <utility>
 
 #include "http/internal/client_connection.h"
@@ -80,7 +81,10 @@
       co_return Ret(ErrorCode::kUnavailable, "all connections to " + authority + " in use");
     }
     const bool reused = connection->used();
-    const Duration left = request.timeout - std::chrono::milliseconds(elapsed.elapsed());
+    // After a pause of the process a connection may end when the time is over already; a timer does
+    // not take a negative interval.
+    const Duration left = std::max<Duration>(
+        Duration::zero(), request.timeout - std::chrono::milliseconds(elapsed.elapsed()));
     ExchangeResult result = co_await connection->Exchange(url, request, left);
     ReturnConnection(authority, std::move(connection));
     // The server may have closed the kept-alive connection while it was idle.
--- a/src/http/tests/client_test.cc
+++ b/src/http/tests/client_test.cc
@@ -149,5 +149,37 @@
   EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
 }
 
+// Guards against an exchange that never ends: the process was paused beyond the deadline, the
+// kept-alive connection was reset meanwhile, and the second attempt started without a timer.
+// Watchers of the store hung for good that way.
+TEST_F(ClientTest, SecondAttemptAfterAPauseEndsAtItsDeadline) {
+  QTcpServer server;
+  ASSERT_TRUE(server.listen(QHostAddress::LocalHost));
+  int requests = 0;
+  QObject::connect(&server, &QTcpServer::newConnection, &server, [&] {
+    QTcpSocket* socket = server.nextPendingConnection();
+    QObject::connect(socket, &QTcpSocket::readyRead, socket, [&, socket] {
+      socket->readAll();
+      if (++requests == 1) {
+        socket->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      } else if (requests == 2) {
+        QThread::msleep(200);  // Stops the whole process, as a freeze does.
+        socket->abort();
+      }
+    });
+  });
+  Client client;
+  const ClientRequest request{
+      .url = "http://127.0.0.1:" + std::to_string(server.serverPort()) + "/",
+      .timeout = 100ms,
+      .idempotency = Idempotency::kIdempotent};
+  Send(client, request);
+  ASSERT_TRUE(WaitForResults(1));
+  ASSERT_TRUE(m_results[0].ok());
+  Send(client, request);
+  ASSERT_TRUE(WaitForResults(2)) << "the exchange never ended";
+  EXPECT_FALSE(m_results[1].ok());
+}
+
 }  // namespace
 }  // namespace citronferry::http
