--- a/src/fleet/pool/internal/instance_duties.cc
+++ b/src/fleet/pool/internal/instance_duties.cc
@@ -93,8 +93,7 @@
     if (!instance || instance->pool != m_owner.pool() || open.progress.done.contains(id)) continue;
     ++state.open_instances;
     if (m_duties.contains(id) || instance->state != InstanceState::kUp) continue;
-    // Two owners must not take turns with an instance within this time.
-    if (m_directory.TimeInPool(id, m_owner.pool()) < m_context.options.duty_holder_gap) continue;
+    if (!m_owner.HasSettled(*instance)) continue;
     // An instance that is off has no executor and nothing to drain.
     if (instance->executor.empty()) {
       if (static_cast<int>(m_duties.size()) >= open.wave.max_at_once) continue;
--- a/src/fleet/pool/internal/instance_mover.cc
+++ b/src/fleet/pool/internal/instance_mover.cc
@@ -21,9 +21,6 @@
 constexpr Duration kPublishTimeout = 1s;
 // From the order to the moment at which the receiving pool counts the instance as its own.
 constexpr Duration kTransit = 2700ms;
-// New executors are counted as movable for the other pools after this, about when the list of
-// instances says so too.
-constexpr Duration kMinStay = 2500ms;
 constexpr Duration kMaxListAge = 1500ms;
 // Orders without an answer are carried out up to this much later.
 constexpr Duration kLateOrders = 12s;
@@ -62,9 +59,7 @@
 bool InstanceMover::IsIdle(const scheduling::ExecutorId& id) const {
   const ExecutorState* executor = m_owner.scheduler().FindExecutor(id);
   if (!executor || !executor->listed || executor->info.leaving || executor->retiring) return false;
-  const TimePoint now = m_context.timers.Now();
-  return executor->in_touch && executor->runs.empty() &&
-         now - executor->listed_at.value_or(now) >= kMinStay;
+  return executor->in_touch && executor->runs.empty();
 }
 
 std::vector<const Instance*> InstanceMover::Movable() const {
@@ -75,10 +70,7 @@
   for (const Instance& instance : m_directory.instances()) {
     if (instance.pool != m_owner.pool() || instance.state != InstanceState::kUp) continue;
     if (m_departures.contains(instance.id) || m_busy(instance.id)) continue;
-    // Two owners must not take turns with an instance within this time.
-    if (m_directory.TimeInPool(instance.id, m_owner.pool()) < m_context.options.duty_holder_gap) {
-      continue;
-    }
+    if (!m_owner.HasSettled(instance)) continue;
     if (standby || IsIdle(instance.executor)) movable.push_back(&instance);
   }
   return movable;
@@ -95,7 +87,7 @@
     ++demand.instances;
     capacity += static_cast<double>(executor.info.capacity.cpu_millicores) / kMillicores;
     used += static_cast<double>(executor.used.cpu_millicores) / kMillicores;
-    if (IsIdle(id)) ++demand.movable;
+    if (IsIdle(id) && m_owner.HasSettled({.executor = id})) ++demand.movable;
   }
   m_forecast.Update(capacity, now);
   if (demand.standby) {
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -19,6 +19,9 @@
 
 constexpr Duration kTickInterval = 100ms;
 constexpr int kTicksPerGaugeUpdate = 10;
+// A move takes 1.5 s until the new executor registers, so this is well beyond the 3 s between
+// orders of two holders.
+constexpr Duration kSettleTime = 2s;
 // Bounds how long a silent connection to the store delays new jobs.
 constexpr Duration kFollowWait = 700ms;
 // Jobs that come within this are planned together.
@@ -62,6 +65,15 @@
   return !m_ended.requested() && m_context.timers.Now() < m_commits->valid_until();
 }
 
+bool PoolOwner::HasSettled(const Instance& instance) const {
+  if (instance.executor.empty()) {
+    return m_directory.TimeInPool(instance.id, m_pool) >= m_context.options.duty_holder_gap;
+  }
+  const scheduling::ExecutorState* executor = m_scheduler->FindExecutor(instance.executor);
+  const TimePoint now = m_context.timers.Now();
+  return executor && now - executor->listed_at.value_or(now) >= kSettleTime;
+}
+
 void PoolOwner::End(Ret reason) {
   if (m_ended.requested()) return;
   m_reason = std::move(reason);
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -52,6 +52,9 @@
   StopSignal& ended() { return m_ended; }
   /// Starts a task that ends before the owner does.
   void Spawn(TaskScope::TaskFunction task) { m_tasks.Spawn(std::move(task)); }
+  /// @return whether an instance has been in this pool long enough for orders: two owners must not
+  ///   take turns with one within the least time between orders of two holders.
+  bool HasSettled(const Instance& instance) const;
   /// Plans what the last events allow, sends the orders and wakes the commit task.
   void Pump();
 
