--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -44,7 +44,7 @@
 void FlushLog();
 
 /// Writes one log line.
-/// @param event stable name of the event in snake_case, documented in docs/operations.md.
+/// @param event stable name of the event in snake_case, documented in docs/OPERATIONS.md.
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
 /// @return the level of a name (debug, info, warning, error), or nothing if it is unknown.
