Include toml++ in one place, with one set of options

Seen once after that: process_test FrozenEntryDoublesNothingWhenItWakes did not start serving in 40 s, on a machine that built beside it; three runs alone passed.

--- a/src/document/internal/toml_reader.h
+++ b/src/document/internal/toml_reader.h
@@ -8,14 +8,7 @@
 #include <string_view>
 #include <vector>
 
-// Debian's shared library is built with exceptions; parse errors are values here.
-#define TOML_HEADER_ONLY 1
-#define TOML_EXCEPTIONS 0
-// toml++ 3.3 asserts that a table header begins with a key character ("[=]" does not) although it
-// reports the error a few lines later. The text comes from operators and must not end the process.
-#define TOML_ASSERT(expression) static_assert(true)
-#include <toml++/toml.h>
-
+#include "base/toml.h"
 #include "document/internal/problem_collector.h"
 #include "document/internal/values.h"
 
--- a/src/platform/internal/settings.cc
+++ b/src/platform/internal/settings.cc
@@ -3,8 +3,7 @@
 #include <QHostAddress>
 #include <sstream>
 
-#define TOML_HEADER_ONLY 1
-#include <toml++/toml.h>
+#include "base/toml.h"
 
 namespace citronferry::platform {
 namespace {
@@ -59,15 +58,13 @@
 }  // namespace
 
 RetVal<NodeSettings> ParseNodeSettings(std::string_view toml_text) {
-  toml::table table;
-  try {
-    table = toml::parse(toml_text);
-  } catch (const toml::parse_error& error) {
+  const toml::parse_result parsed = toml::parse(toml_text);
+  if (!parsed) {
     std::ostringstream message;
-    message << error.description() << " at line " << error.source().begin.line;
+    message << parsed.error().description() << " at line " << parsed.error().source().begin.line;
     return Ret(ErrorCode::kInvalidArgument, message.str());
   }
-  SettingsReader reader(table);
+  SettingsReader reader(parsed.table());
   NodeSettings settings;
   settings.name = reader.Text("nodeName");
   settings.ip = reader.Text("ip");
