--- a/src/http/internal/client_connection.cc
+++ b/src/http/internal/client_connection.cc
@@ -21,6 +21,9 @@
 // Larger than any header block of the servers this client talks to.
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 
+// A server closes right after a response to a request that says "Connection: close".
+constexpr std::chrono::milliseconds kServerCloseTime{1000};
+
 QByteArray Serialize(const QUrl& url, const ClientRequest& request, bool keep_alive) {
   beast::http::request<beast::http::string_body> message;
   message.method_string(request.method);
@@ -132,10 +135,21 @@
 
 ClientConnection::~ClientConnection() {
   if (!m_socket) return;
-  m_socket->disconnect();
-  m_socket->abort();
   // The connection may end inside a slot of its socket.
-  m_socket.release()->deleteLater();
+  QTcpSocket* socket = m_socket.release();
+  socket->disconnect();
+  if (m_server_closes && socket->state() == QAbstractSocket::ConnectedState) {
+    // The side that closes first keeps the port for a minute. A client that does so for each
+    // request runs out of ports, so the server is left to do it.
+    QObject::connect(socket, &QAbstractSocket::disconnected, socket, &QObject::deleteLater);
+    QTimer::singleShot(kServerCloseTime, socket, [socket] {
+      socket->abort();
+      socket->deleteLater();
+    });
+    return;
+  }
+  socket->abort();
+  socket->deleteLater();
 }
 
 bool ClientConnection::reusable() const {
@@ -185,6 +199,7 @@
   result.end = co_await end.Wait();
   m_used = true;
   m_keep_alive = result.end == ExchangeEnd::kComplete && keep_alive && reader.keep_alive();
+  m_server_closes = result.end == ExchangeEnd::kComplete && !keep_alive;
   if (result.end == ExchangeEnd::kComplete) {
     result.response = reader.Take();
   } else {
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -50,6 +50,7 @@
   std::unique_ptr<QTcpSocket> m_socket;
   bool m_keep_alive = false;
   bool m_used = false;
+  bool m_server_closes = false;  ///< The response came and the server was asked to close.
 };
 
 }  // namespace citronferry::http
--- a/src/http/tests/client_test.cc
+++ b/src/http/tests/client_test.cc
@@ -4,6 +4,7 @@
 
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <QTimer>
 
 #include "http/server.h"
 #include "supervision/testing/event_loop.h"
@@ -149,6 +150,36 @@
   EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
 }
 
+// Guards against a client that closes first after each non-idempotent request and keeps its ports
+// for a minute: 70,000 of them were left after the tests, and servers found their ports taken.
+TEST_F(ClientTest, ServerClosesAfterANonIdempotentExchange) {
+  QTcpServer server;
+  ASSERT_TRUE(server.listen(QHostAddress::LocalHost));
+  bool client_closed_first = false;
+  bool server_closed = false;
+  QObject::connect(&server, &QTcpServer::newConnection, &server, [&] {
+    QTcpSocket* socket = server.nextPendingConnection();
+    QObject::connect(socket, &QTcpSocket::disconnected, socket,
+                     [&] { client_closed_first |= !server_closed; });
+    QObject::connect(socket, &QTcpSocket::readyRead, socket, [&, socket] {
+      socket->readAll();
+      socket->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+      QTimer::singleShot(100, socket, [&, socket] {
+        server_closed = true;
+        socket->disconnectFromHost();
+      });
+    });
+  });
+  Client client;
+  Send(client, {.method = "POST",
+                .url = "http://127.0.0.1:" + std::to_string(server.serverPort()) + "/",
+                .body = "tally"});
+  ASSERT_TRUE(WaitForResults(1));
+  EXPECT_TRUE(m_results[0].ok());
+  ASSERT_TRUE(ProcessEventsUntil([&] { return server_closed || client_closed_first; }));
+  EXPECT_FALSE(client_closed_first);
+}
+
 // Guards against an exchange that never ends: the process was paused beyond the deadline, the
 // kept-alive connection was reset meanwhile, and the second attempt started without a timer.
 // Watchers of the store hung for good that way.
--- a/tests/process/rig.cc
+++ b/tests/process/rig.cc
@@ -6,6 +6,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QTcpServer>
+#include <iostream>
 
 #include "node/node_context.h"
 #include "supervision/testing/event_loop.h"
@@ -195,9 +196,19 @@
   for (int i = 0; i < kWaits; ++i) {
     if (ProcessEventsUntil(serving)) return true;
   }
+  PrintLogs();
   return false;
 }
 
+void Rig::PrintLogs() const {
+  constexpr qsizetype kShownBytes = 3000;
+  for (const auto& entry : m_entries) {
+    std::cerr << "log of an entry:\n" << entry->log().right(kShownBytes).toStdString() << '\n';
+  }
+  std::cerr << "log of the platform:\n"
+            << m_platform->log().right(kShownBytes).toStdString() << '\n';
+}
+
 standin::LoadOptions Rig::MakeLoadOptions(const std::string& queue, const std::string& prefix,
                                           double rate, Duration duration, int tries) const {
   standin::LoadOptions options{.path = "/v1/queues/" + queue + "/requests",
--- a/tests/process/rig.h
+++ b/tests/process/rig.h
@@ -47,6 +47,8 @@
 
   /// Publishes a configuration and waits until every entry is ready.
   bool StartServing();
+  /// Prints the ends of the processes' logs, for a start that failed.
+  void PrintLogs() const;
   /// @return the standard document, with a queue limit that tells versions apart.
   std::string MakeDocument(int max_queued) const;
   bool PublishConfiguration(uint64_t version, const std::string& text);
