--- a/src/cli/internal/fleet_command.cc
+++ b/src/cli/internal/fleet_command.cc
@@ -21,14 +21,14 @@
 constexpr Duration kExecutorLease = 5s;
 // Beyond the time for which final states must be shown.
 constexpr Duration kRetentionMargin = 10s;
-constexpr const char* kMetricsPort = "9464";
+constexpr uint16_t kMetricsPort = 9464;
 
 fleet::FleetOptions MakeOptions(const platform::NodeSettings& settings) {
   return {.name = settings.name,
           .incarnation = node::RandomToken(),
-          .client_address = settings.client_address,
-          .readiness_address = settings.readiness_address,
-          .metrics_address = settings.ip + ":" + kMetricsPort,
+          .client_listener = settings.client_listener,
+          .readiness_listener = settings.readiness_listener,
+          .metrics_listener = {.address = settings.ip, .port = kMetricsPort},
           .cores = settings.cores,
           .executor_lease = std::min(kExecutorLease, settings.max_executor_lease),
           .status_retention = settings.min_status_retention + kRetentionMargin,
--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -63,6 +63,8 @@
   ExecutorHealth health;
 
   Resources free() const { return info.capacity - used; }
+  /// @return how many of its runs are of lasting tasks.
+  int lasting_tasks() const;
   /// @return whether new tasks may be placed.
   bool Usable(TimePoint now) const;
 };
--- a/src/decisions/scheduling/internal/executor_state.cc
+++ b/src/decisions/scheduling/internal/executor_state.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decisions/scheduling/job.h"
+
 namespace citronferry::scheduling {
 namespace {
 
@@ -38,6 +40,12 @@
   m_several_jobs = false;
 }
 
+int ExecutorState::lasting_tasks() const {
+  return static_cast<int>(std::count_if(runs.begin(), runs.end(), [](const RunRef& ref) {
+    return ref.job->spec(ref.task.step).lasting;
+  }));
+}
+
 bool ExecutorState::Usable(TimePoint now) const {
   if (!listed || !link_recorded || !in_touch || info.leaving || retiring) return false;
   if (health.quarantined(now) || now < no_room_until) return false;
--- a/src/decisions/scheduling/internal/job.cc
+++ b/src/decisions/scheduling/internal/job.cc
@@ -31,11 +31,6 @@
   return occurrence;
 }
 
-bool Job::lasting() const {
-  return std::any_of(m_definition->steps.begin(), m_definition->steps.end(),
-                     [](const StepSpec& step) { return step.lasting; });
-}
-
 void Job::OpenOccurrences(int64_t unix_ms) {
   const Schedule& schedule = m_definition->schedule;
   if (is_final()) return;
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -8,17 +8,9 @@
 
 // The epoch is above these bits of a run id, so that runs rise across owners.
 constexpr int kRunNumberBits = 20;
-// A stop that was not confirmed is repeated after this.
-constexpr Duration kStopRepeat = 500ms;
-// An executor refused for want of room: its own view is newer than ours until the next report.
-constexpr Duration kNoRoomPause = 100ms;
 // An entry that the registry lost while the store was away is back within two seconds of its
 // return.
 constexpr Duration kUnlistedGrace = 5s;
-// The users count one call on 30 executors into a step's time.
-constexpr size_t kMaxAdvisedExecutors = 30;
-// Calls are handled one after the other, so some may wait before this one.
-constexpr Duration kAdviceSlack = 2s;
 // Steps in the order of rank that may fail to be placed before the pool counts as full.
 constexpr int kMaxMissedSteps = 40;
 
@@ -147,150 +139,6 @@
 
 std::vector<SchedulerNote> PoolScheduler::TakeNotes() { return std::exchange(m_notes, {}); }
 
-Resources PoolScheduler::CountedRequest(const Job& job, int step) const {
-  const StepSpec& spec = job.spec(step);
-  Resources request = spec.request;
-  if (spec.uses_leftover_cpu) request.cpu_millicores = 0;
-  return request;
-}
-
-Run* PoolScheduler::FindRun(const TaskId& id, int64_t run, const ExecutorId& executor) {
-  Job* job = FindJobMutable(id.job);
-  Task* task = job ? job->FindTask(id) : nullptr;
-  if (!task) return nullptr;
-  const auto found = std::find_if(task->runs.begin(), task->runs.end(), [&](const Run& candidate) {
-    return candidate.id == run && candidate.executor == executor;
-  });
-  return found == task->runs.end() ? nullptr : &*found;
-}
-
-void PoolScheduler::RemoveRun(const TaskId& id, int64_t run, ExecutorState& executor) {
-  const auto ref =
-      std::find_if(executor.runs.begin(), executor.runs.end(),
-                   [&](const RunRef& entry) { return entry.run == run && entry.task == id; });
-  if (ref == executor.runs.end()) return;
-  executor.used -= CountedRequest(*ref->job, id.step);
-  if (Task* task = ref->job->FindTask(id)) {
-    std::erase_if(task->runs, [&](const Run& candidate) {
-      return candidate.id == run && candidate.executor == executor.info.id;
-    });
-  }
-  executor.runs.erase(ref);
-  m_plan_needed = true;
-}
-
-void PoolScheduler::DropAllRuns(ExecutorState& executor, std::string_view reason) {
-  for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
-    Note("run_lost", ref.task, ref.run, executor.info.id, reason);
-    RemoveRun(ref.task, ref.run, executor);
-  }
-}
-
-void PoolScheduler::GiveUpRuns(ExecutorState& executor) {
-  for (const RunRef& ref : executor.runs) m_given_up_runs.insert({ref.task, ref.run});
-  DropAllRuns(executor, "lease_ran_out");
-}
-
-void PoolScheduler::OrderStop(const TaskId& task, Run& run, TimePoint now) {
-  if (run.stop_ordered_at && now - *run.stop_ordered_at < kStopRepeat) return;
-  run.phase = RunPhase::kStopping;
-  run.stop_ordered_at = now;
-  // Only the answer to this order tells whether the run can still appear.
-  run.settled_at.reset();
-  m_orders.stops.push_back({.executor = run.executor, .task = task, .run = run.id});
-}
-
-void PoolScheduler::StopRun(const StopOrder& stop, TimePoint now) {
-  if (Run* run = FindRun(stop.task, stop.run, stop.executor)) OrderStop(stop.task, *run, now);
-}
-
-void PoolScheduler::StopAllRuns(Job& job, TimePoint now) {
-  for (auto& [number, occurrence] : job.occurrences()) {
-    for (size_t step = 0; step < occurrence.steps.size(); ++step) {
-      std::vector<Task>& tasks = occurrence.steps[step].tasks;
-      for (size_t index = 0; index < tasks.size(); ++index) {
-        const TaskId id{.job = job.id(),
-                        .occurrence = number,
-                        .step = static_cast<int>(step),
-                        .index = static_cast<int>(index)};
-        for (Run& run : tasks[index].runs) OrderStop(id, run, now);
-      }
-    }
-  }
-}
-
-void PoolScheduler::StopOtherRuns(Job& job, const TaskId& id, int64_t except_run, TimePoint now) {
-  Task* task = job.FindTask(id);
-  if (!task) return;
-  for (Run& run : task->runs) {
-    if (run.id != except_run) OrderStop(id, run, now);
-  }
-}
-
-void PoolScheduler::OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now) {
-  ExecutorState* executor = FindExecutor(order.executor);
-  Run* run = FindRun(order.task, order.run, order.executor);
-  if (!executor || !run) return;
-  switch (answer) {
-    case StartAnswer::kStarted:
-      if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
-      if (run->phase == RunPhase::kRunning) run->settled_at = now;
-      return;
-    case StartAnswer::kRunOutdated:
-      // An earlier attempt may have been carried out although its answer was lost, and have ended
-      // meanwhile. The next report lists its end, or shows that it was never there.
-      Note("start_outdated", order.task, order.run, order.executor);
-      if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
-      run->settled_at = now;
-      return;
-    case StartAnswer::kUnknown:
-      // It may still start, so the task waits until the run is known to be stopped.
-      Note("start_unanswered", order.task, order.run, order.executor);
-      OrderStop(order.task, *run, now);
-      return;
-    case StartAnswer::kOtherExecutor:
-      OnExecutorGone(order.executor, now);
-      return;
-    case StartAnswer::kFenced:
-      m_fenced = true;
-      break;
-    case StartAnswer::kNoRoom:
-      executor->no_room_until = now + kNoRoomPause;
-      break;
-    case StartAnswer::kUnhealthy:
-    case StartAnswer::kMalformed:
-      executor->health.Quarantine(now);
-      break;
-    case StartAnswer::kTicketInvalid:
-      if (Step* step = FindStep(order.task)) step->tickets.erase(order.executor);
-      break;
-    case StartAnswer::kDeadlinePassed:
-    case StartAnswer::kNotSent:
-      break;
-  }
-  Note("start_refused", order.task, order.run, order.executor,
-       std::to_string(static_cast<int>(answer)));
-  const bool gang = FindJobMutable(order.task.job)->spec(order.task.step).all_at_once;
-  RemoveRun(order.task, order.run, *executor);
-  if (!gang) return;
-  // The other members would wait for this one in vain.
-  Job& job = *FindJobMutable(order.task.job);
-  for (size_t i = 0; i < static_cast<size_t>(job.spec(order.task.step).replicas); ++i) {
-    TaskId member = order.task;
-    member.index = static_cast<int>(i);
-    if (Task* task = job.FindTask(member)) {
-      for (Run& other : task->runs) OrderStop(member, other, now);
-    }
-  }
-}
-
-void PoolScheduler::OnStopAnswer(const StopOrder& order, StopAnswer answer, TimePoint now) {
-  if (answer == StopAnswer::kOtherExecutor) return OnExecutorGone(order.executor, now);
-  if (answer == StopAnswer::kFenced) m_fenced = true;
-  if (answer != StopAnswer::kAccepted) return;
-  if (Run* run = FindRun(order.task, order.run, order.executor)) run->settled_at = now;
-}
-
 void PoolScheduler::OnNoAnswer(const ExecutorId& id) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
@@ -390,16 +238,13 @@
   });
 }
 
-std::vector<Candidate> PoolScheduler::MakeCandidates(TimePoint now) const {
+std::vector<Candidate> PoolScheduler::MakeCandidates(TimePoint now) {
   std::vector<Candidate> candidates;
-  for (const auto& [id, executor] : m_executors) {
+  for (auto& [id, executor] : m_executors) {
     if (!executor.Usable(now)) continue;
-    const auto lasting =
-        std::count_if(executor.runs.begin(), executor.runs.end(),
-                      [](const RunRef& ref) { return ref.job->spec(ref.task.step).lasting; });
-    candidates.push_back({.executor = const_cast<ExecutorState*>(&executor),
+    candidates.push_back({.executor = &executor,
                           .free = executor.free(),
-                          .lasting_tasks = static_cast<int>(lasting)});
+                          .lasting_tasks = executor.lasting_tasks()});
   }
   return candidates;
 }
@@ -472,7 +317,7 @@
   if (placement.needs_ticket && (!step.tickets_valid_until || *step.tickets_valid_until <= now)) {
     return true;
   }
-  const double cores = static_cast<double>(spec.request.cpu_millicores) / 1000;
+  const double cores = Cores(spec.request);
   TaskId id{.job = job.id(), .occurrence = occurrence, .step = step_index};
 
   if (spec.all_at_once) {
@@ -540,70 +385,8 @@
   return &occurrence->second.steps[static_cast<size_t>(id.step)];
 }
 
-bool PoolScheduler::NeedsTicket(const Job& job) const {
-  const auto queue = m_queues.find(job.definition()->queue);
-  return queue != m_queues.end() && queue->second.needs_advice;
-}
-
-std::vector<TicketRequest> PoolScheduler::TakeTicketRequests(TimePoint now) {
-  std::vector<TicketRequest> requests;
-  for (const JobId& id : m_open_jobs) {
-    Job& job = *m_jobs.at(id);
-    if (!NeedsTicket(job)) continue;
-    const QueuePolicy& queue = m_queues.at(job.definition()->queue);
-    for (auto& [number, occurrence] : job.occurrences()) {
-      for (size_t i = 0; i < occurrence.steps.size(); ++i) {
-        Step& step = occurrence.steps[i];
-        const bool valid = step.tickets_valid_until && *step.tickets_valid_until > now;
-        const bool waits = std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
-          return Waits(task, job.spec(static_cast<int>(i)));
-        });
-        if (!Job::IsReady(step) || step.tickets_asked || !waits ||
-            (valid && !step.tickets.empty())) {
-          continue;
-        }
-        TicketRequest request{
-            .step = {.job = id, .occurrence = number, .step = static_cast<int>(i)}};
-        // The emptiest first; each one that is named costs the adviser time.
-        std::vector<const ExecutorState*> usable;
-        for (const auto& [name, executor] : m_executors) {
-          if (executor.Usable(now)) usable.push_back(&executor);
-        }
-        std::sort(usable.begin(), usable.end(), [](const auto* a, const auto* b) {
-          return a->free().cpu_millicores > b->free().cpu_millicores;
-        });
-        if (usable.size() > kMaxAdvisedExecutors) usable.resize(kMaxAdvisedExecutors);
-        if (usable.empty()) continue;
-        for (const ExecutorState* executor : usable) {
-          request.candidates.push_back(executor->info.id);
-        }
-        request.timeout =
-            queue.advice_delay +
-            queue.advice_per_executor * static_cast<int64_t>(request.candidates.size()) +
-            kAdviceSlack;
-        step.tickets_asked = true;
-        requests.push_back(std::move(request));
-      }
-    }
-  }
-  return requests;
-}
-
-void PoolScheduler::SetTickets(const TaskId& id, std::map<ExecutorId, std::string> tickets,
-                               TimePoint valid_until, TimePoint now) {
-  Step* step = FindStep(id);
-  if (!step) return;
-  step->tickets_asked = false;
-  step->tickets = std::move(tickets);
-  // An answer without a ticket is asked for again only after its time, not at once.
-  step->tickets_valid_until = step->tickets.empty() ? now : valid_until;
-  m_plan_needed = true;
-}
-
 double PoolScheduler::WorkOf(const JobDefinition& definition) const {
-  const bool lasting = std::any_of(definition.steps.begin(), definition.steps.end(),
-                                   [](const StepSpec& step) { return step.lasting; });
-  return lasting ? 0 : EstimateWhole(definition, m_durations).core_seconds;
+  return IsLasting(definition) ? 0 : EstimateWhole(definition, m_durations).core_seconds;
 }
 
 double PoolScheduler::lasting_cores() const {
@@ -611,7 +394,7 @@
   for (const auto& [id, executor] : m_executors) {
     for (const RunRef& ref : executor.runs) {
       if (!ref.job->spec(ref.task.step).lasting) continue;
-      cores += static_cast<double>(CountedRequest(*ref.job, ref.task.step).cpu_millicores) / 1000;
+      cores += Cores(CountedRequest(*ref.job, ref.task.step));
     }
   }
   return cores;
@@ -624,41 +407,4 @@
   m_plan_needed = true;
 }
 
-std::vector<StopOrder> PoolScheduler::StopsWithinBudget(const ExecutorId& id) const {
-  std::vector<StopOrder> stops;
-  const auto found = m_executors.find(id);
-  if (found == m_executors.end()) return stops;
-  std::map<std::tuple<JobId, int, int>, int> stopped_now;  // By step of an occurrence.
-  for (const RunRef& ref : found->second.runs) {
-    const StepSpec& spec = ref.job->spec(ref.task.step);
-    if (!spec.lasting) continue;
-    const std::vector<Task>& tasks = ref.job->occurrences()
-                                         .at(ref.task.occurrence)
-                                         .steps[static_cast<size_t>(ref.task.step)]
-                                         .tasks;
-    constexpr int kAtWork = 100;  // Percent.
-    // What runs on a silent executor may have ended long ago.
-    const auto at_work = [this](const Task& task) {
-      return std::any_of(task.runs.begin(), task.runs.end(), [this](const Run& run) {
-        const auto executor = m_executors.find(run.executor);
-        return run.phase == RunPhase::kRunning && run.percent >= kAtWork &&
-               executor != m_executors.end() && executor->second.in_touch;
-      });
-    };
-    const Task& own = tasks[static_cast<size_t>(ref.task.index)];
-    int& stopped = stopped_now[{ref.task.job, ref.task.occurrence, ref.task.step}];
-    const auto others_away = std::count_if(tasks.begin(), tasks.end(), [&](const Task& task) {
-      return &task != &own && !at_work(task);
-    });
-    const bool allowed = spec.max_unavailable <= 0 || others_away + stopped < spec.max_unavailable;
-    const bool stopping = std::any_of(own.runs.begin(), own.runs.end(), [](const Run& run) {
-      return run.phase == RunPhase::kStopping;
-    });
-    if (!allowed || stopping) continue;
-    stops.push_back({.executor = id, .task = ref.task, .run = ref.run});
-    ++stopped;
-  }
-  return stops;
-}
-
 }  // namespace citronferry::scheduling
--- a/src/decisions/scheduling/internal/ranking.cc
+++ b/src/decisions/scheduling/internal/ranking.cc
@@ -26,8 +26,7 @@
       start = std::max(start, finish[static_cast<size_t>(before)]);
     finish[i] = start + (open > 0 ? duration : Duration::zero());
     work.longest_chain = std::max(work.longest_chain, finish[i]);
-    work.core_seconds +=
-        open * static_cast<double>(step.request.cpu_millicores) / 1000 * ToSeconds(duration);
+    work.core_seconds += open * Cores(step.request) * ToSeconds(duration);
   }
 }
 
--- /dev/null
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -0,0 +1,200 @@
+// Life of runs: answers to starts and stops, stops within budgets, and runs that are given up.
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+#include "decisions/scheduling/pool_scheduler.h"
+
+namespace citronferry::scheduling {
+namespace {
+
+// A stop that was not confirmed is repeated after this.
+constexpr Duration kStopRepeat = 500ms;
+// An executor refused for want of room: its own view is newer than ours until the next report.
+constexpr Duration kNoRoomPause = 100ms;
+
+}  // namespace
+
+Resources PoolScheduler::CountedRequest(const Job& job, int step) const {
+  const StepSpec& spec = job.spec(step);
+  Resources request = spec.request;
+  if (spec.uses_leftover_cpu) request.cpu_millicores = 0;
+  return request;
+}
+
+Run* PoolScheduler::FindRun(const TaskId& id, int64_t run, const ExecutorId& executor) {
+  Job* job = FindJobMutable(id.job);
+  Task* task = job ? job->FindTask(id) : nullptr;
+  if (!task) return nullptr;
+  const auto found = std::find_if(task->runs.begin(), task->runs.end(), [&](const Run& candidate) {
+    return candidate.id == run && candidate.executor == executor;
+  });
+  return found == task->runs.end() ? nullptr : &*found;
+}
+
+void PoolScheduler::RemoveRun(const TaskId& id, int64_t run, ExecutorState& executor) {
+  const auto ref =
+      std::find_if(executor.runs.begin(), executor.runs.end(),
+                   [&](const RunRef& entry) { return entry.run == run && entry.task == id; });
+  if (ref == executor.runs.end()) return;
+  executor.used -= CountedRequest(*ref->job, id.step);
+  if (Task* task = ref->job->FindTask(id)) {
+    std::erase_if(task->runs, [&](const Run& candidate) {
+      return candidate.id == run && candidate.executor == executor.info.id;
+    });
+  }
+  executor.runs.erase(ref);
+  m_plan_needed = true;
+}
+
+void PoolScheduler::DropAllRuns(ExecutorState& executor, std::string_view reason) {
+  for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
+    Note("run_lost", ref.task, ref.run, executor.info.id, reason);
+    RemoveRun(ref.task, ref.run, executor);
+  }
+}
+
+void PoolScheduler::GiveUpRuns(ExecutorState& executor) {
+  for (const RunRef& ref : executor.runs) m_given_up_runs.insert({ref.task, ref.run});
+  DropAllRuns(executor, "lease_ran_out");
+}
+
+void PoolScheduler::OrderStop(const TaskId& task, Run& run, TimePoint now) {
+  if (run.stop_ordered_at && now - *run.stop_ordered_at < kStopRepeat) return;
+  run.phase = RunPhase::kStopping;
+  run.stop_ordered_at = now;
+  // Only the answer to this order tells whether the run can still appear.
+  run.settled_at.reset();
+  m_orders.stops.push_back({.executor = run.executor, .task = task, .run = run.id});
+}
+
+void PoolScheduler::StopRun(const StopOrder& stop, TimePoint now) {
+  if (Run* run = FindRun(stop.task, stop.run, stop.executor)) OrderStop(stop.task, *run, now);
+}
+
+void PoolScheduler::StopAllRuns(Job& job, TimePoint now) {
+  for (auto& [number, occurrence] : job.occurrences()) {
+    for (size_t step = 0; step < occurrence.steps.size(); ++step) {
+      std::vector<Task>& tasks = occurrence.steps[step].tasks;
+      for (size_t index = 0; index < tasks.size(); ++index) {
+        const TaskId id{.job = job.id(),
+                        .occurrence = number,
+                        .step = static_cast<int>(step),
+                        .index = static_cast<int>(index)};
+        for (Run& run : tasks[index].runs) OrderStop(id, run, now);
+      }
+    }
+  }
+}
+
+void PoolScheduler::StopOtherRuns(Job& job, const TaskId& id, int64_t except_run, TimePoint now) {
+  Task* task = job.FindTask(id);
+  if (!task) return;
+  for (Run& run : task->runs) {
+    if (run.id != except_run) OrderStop(id, run, now);
+  }
+}
+
+void PoolScheduler::OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now) {
+  ExecutorState* executor = FindExecutor(order.executor);
+  Run* run = FindRun(order.task, order.run, order.executor);
+  if (!executor || !run) return;
+  switch (answer) {
+    case StartAnswer::kStarted:
+      if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
+      if (run->phase == RunPhase::kRunning) run->settled_at = now;
+      return;
+    case StartAnswer::kRunOutdated:
+      // An earlier attempt may have been carried out although its answer was lost, and have ended
+      // meanwhile. The next report lists its end, or shows that it was never there.
+      Note("start_outdated", order.task, order.run, order.executor);
+      if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
+      run->settled_at = now;
+      return;
+    case StartAnswer::kUnknown:
+      // It may still start, so the task waits until the run is known to be stopped.
+      Note("start_unanswered", order.task, order.run, order.executor);
+      OrderStop(order.task, *run, now);
+      return;
+    case StartAnswer::kOtherExecutor:
+      OnExecutorGone(order.executor, now);
+      return;
+    case StartAnswer::kFenced:
+      m_fenced = true;
+      break;
+    case StartAnswer::kNoRoom:
+      executor->no_room_until = now + kNoRoomPause;
+      break;
+    case StartAnswer::kUnhealthy:
+    case StartAnswer::kMalformed:
+      executor->health.Quarantine(now);
+      break;
+    case StartAnswer::kTicketInvalid:
+      if (Step* step = FindStep(order.task)) step->tickets.erase(order.executor);
+      break;
+    case StartAnswer::kDeadlinePassed:
+    case StartAnswer::kNotSent:
+      break;
+  }
+  Note("start_refused", order.task, order.run, order.executor,
+       std::to_string(static_cast<int>(answer)));
+  const bool gang = FindJobMutable(order.task.job)->spec(order.task.step).all_at_once;
+  RemoveRun(order.task, order.run, *executor);
+  if (!gang) return;
+  // The other members would wait for this one in vain.
+  Job& job = *FindJobMutable(order.task.job);
+  for (size_t i = 0; i < static_cast<size_t>(job.spec(order.task.step).replicas); ++i) {
+    TaskId member = order.task;
+    member.index = static_cast<int>(i);
+    if (Task* task = job.FindTask(member)) {
+      for (Run& other : task->runs) OrderStop(member, other, now);
+    }
+  }
+}
+
+void PoolScheduler::OnStopAnswer(const StopOrder& order, StopAnswer answer, TimePoint now) {
+  if (answer == StopAnswer::kOtherExecutor) return OnExecutorGone(order.executor, now);
+  if (answer == StopAnswer::kFenced) m_fenced = true;
+  if (answer != StopAnswer::kAccepted) return;
+  if (Run* run = FindRun(order.task, order.run, order.executor)) run->settled_at = now;
+}
+
+std::vector<StopOrder> PoolScheduler::StopsWithinBudget(const ExecutorId& id) const {
+  std::vector<StopOrder> stops;
+  const auto found = m_executors.find(id);
+  if (found == m_executors.end()) return stops;
+  std::map<std::tuple<JobId, int, int>, int> stopped_now;  // By step of an occurrence.
+  for (const RunRef& ref : found->second.runs) {
+    const StepSpec& spec = ref.job->spec(ref.task.step);
+    if (!spec.lasting) continue;
+    const std::vector<Task>& tasks = ref.job->occurrences()
+                                         .at(ref.task.occurrence)
+                                         .steps[static_cast<size_t>(ref.task.step)]
+                                         .tasks;
+    constexpr int kAtWork = 100;  // Percent.
+    // What runs on a silent executor may have ended long ago.
+    const auto at_work = [this](const Task& task) {
+      return std::any_of(task.runs.begin(), task.runs.end(), [this](const Run& run) {
+        const auto executor = m_executors.find(run.executor);
+        return run.phase == RunPhase::kRunning && run.percent >= kAtWork &&
+               executor != m_executors.end() && executor->second.in_touch;
+      });
+    };
+    const Task& own = tasks[static_cast<size_t>(ref.task.index)];
+    int& stopped = stopped_now[{ref.task.job, ref.task.occurrence, ref.task.step}];
+    const auto others_away = std::count_if(tasks.begin(), tasks.end(), [&](const Task& task) {
+      return &task != &own && !at_work(task);
+    });
+    const bool allowed = spec.max_unavailable <= 0 || others_away + stopped < spec.max_unavailable;
+    const bool stopping = std::any_of(own.runs.begin(), own.runs.end(), [](const Run& run) {
+      return run.phase == RunPhase::kStopping;
+    });
+    if (!allowed || stopping) continue;
+    stops.push_back({.executor = id, .task = ref.task, .run = ref.run});
+    ++stopped;
+  }
+  return stops;
+}
+
+}  // namespace citronferry::scheduling
--- /dev/null
+++ b/src/decisions/scheduling/internal/tickets.cc
@@ -0,0 +1,80 @@
+// Tickets of the placement adviser, for queues whose policy asks for them.
+#include <algorithm>
+#include <utility>
+
+#include "decisions/scheduling/pool_scheduler.h"
+
+namespace citronferry::scheduling {
+namespace {
+
+// The users count one call on 30 executors into a step's time.
+constexpr size_t kMaxAdvisedExecutors = 30;
+// Calls are handled one after the other, so some may wait before this one.
+constexpr Duration kAdviceSlack = 2s;
+
+}  // namespace
+
+bool PoolScheduler::NeedsTicket(const Job& job) const {
+  const auto queue = m_queues.find(job.definition()->queue);
+  return queue != m_queues.end() && queue->second.needs_advice;
+}
+
+std::vector<TicketRequest> PoolScheduler::TakeTicketRequests(TimePoint now) {
+  std::vector<TicketRequest> requests;
+  const bool any_advised = std::any_of(m_queues.begin(), m_queues.end(),
+                                       [](const auto& queue) { return queue.second.needs_advice; });
+  if (!any_advised) return requests;
+  for (const JobId& id : m_open_jobs) {
+    Job& job = *m_jobs.at(id);
+    if (!NeedsTicket(job)) continue;
+    const QueuePolicy& queue = m_queues.at(job.definition()->queue);
+    for (auto& [number, occurrence] : job.occurrences()) {
+      for (size_t i = 0; i < occurrence.steps.size(); ++i) {
+        Step& step = occurrence.steps[i];
+        const bool valid = step.tickets_valid_until && *step.tickets_valid_until > now;
+        const bool waits = std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
+          return Waits(task, job.spec(static_cast<int>(i)));
+        });
+        if (!Job::IsReady(step) || step.tickets_asked || !waits ||
+            (valid && !step.tickets.empty())) {
+          continue;
+        }
+        TicketRequest request{
+            .step = {.job = id, .occurrence = number, .step = static_cast<int>(i)}};
+        // The emptiest first; each one that is named costs the adviser time.
+        std::vector<const ExecutorState*> usable;
+        for (const auto& [name, executor] : m_executors) {
+          if (executor.Usable(now)) usable.push_back(&executor);
+        }
+        std::sort(usable.begin(), usable.end(), [](const auto* a, const auto* b) {
+          return a->free().cpu_millicores > b->free().cpu_millicores;
+        });
+        if (usable.size() > kMaxAdvisedExecutors) usable.resize(kMaxAdvisedExecutors);
+        if (usable.empty()) continue;
+        for (const ExecutorState* executor : usable) {
+          request.candidates.push_back(executor->info.id);
+        }
+        request.timeout =
+            queue.advice_delay +
+            queue.advice_per_executor * static_cast<int64_t>(request.candidates.size()) +
+            kAdviceSlack;
+        step.tickets_asked = true;
+        requests.push_back(std::move(request));
+      }
+    }
+  }
+  return requests;
+}
+
+void PoolScheduler::SetTickets(const TaskId& id, std::map<ExecutorId, std::string> tickets,
+                               TimePoint valid_until, TimePoint now) {
+  Step* step = FindStep(id);
+  if (!step) return;
+  step->tickets_asked = false;
+  step->tickets = std::move(tickets);
+  // An answer without a ticket is asked for again only after its time, not at once.
+  step->tickets_valid_until = step->tickets.empty() ? now : valid_until;
+  m_plan_needed = true;
+}
+
+}  // namespace citronferry::scheduling
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -79,8 +79,7 @@
   bool inherited() const { return m_inherited; }
   TimePoint accepted_at() const { return m_accepted_at; }
   bool scheduled() const { return m_definition->schedule.occurrences > 0; }
-  /// @return whether its first step runs until the job is cancelled.
-  bool lasting() const;
+  bool lasting() const { return IsLasting(*m_definition); }
 
   /// Opens the occurrences that are due.
   /// @param unix_ms the time of day.
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -188,7 +188,7 @@
   void Note(std::string_view event, const TaskId& task, int64_t run, const ExecutorId& executor,
             std::string_view detail = {});
 
-  std::vector<Candidate> MakeCandidates(TimePoint now) const;
+  std::vector<Candidate> MakeCandidates(TimePoint now);
   std::vector<PlanningJob> RankJobs(TimePoint now) const;
   /// @return whether every task of the step that waits was placed.
   bool PlaceStep(Job& job, int occurrence, int step_index, Placer& placer, TimePoint now);
--- a/src/decisions/scheduling/types.h
+++ b/src/decisions/scheduling/types.h
@@ -14,8 +14,6 @@
 
 /// One life of an instance as an executor. A replaced or moved instance gets a new one.
 using ExecutorId = StrongId<struct ExecutorIdTag>;
-/// Key of a set of executors with one owner. Today each pool is one shard.
-using ShardId = StrongId<struct ShardIdTag>;
 
 /// Capacity of an executor, or what a task takes of it.
 struct Resources {
@@ -29,6 +27,9 @@
   friend bool operator==(const Resources&, const Resources&) = default;
 };
 
+/// @return the CPU of resources in cores.
+double Cores(const Resources& resources);
+
 /// @return whether a request fits into what is free.
 bool Fits(const Resources& request, const Resources& free);
 
@@ -69,6 +70,9 @@
   int64_t accepted_unix_ms = 0;
 };
 
+/// @return whether a step of the job runs until the job is cancelled.
+bool IsLasting(const JobDefinition& definition);
+
 enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
 /// @return whether the state is final.
--- a/src/fleet/entry/internal/client_service.cc
+++ b/src/fleet/entry/internal/client_service.cc
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "fleet/entry/internal/server_address.h"
 #include "telemetry/log.h"
 
 namespace citronferry::fleet {
@@ -28,14 +27,15 @@
 ClientService::ClientService(FleetContext& context)
     : m_context(context),
       m_gate(context),
-      m_server(context.timers,
-               {.address = HostOf(context.options.client_address),
-                .port = PortOf(context.options.client_address),
-                .limits = {.max_header_bytes = kMaxHeaderBytes,
-                           .max_body_bytes = kMaxBodyBytes,
-                           .idle_timeout = kIdleTimeout},
-                .drain_timeout = kDrainTimeout},
-               [this](http::Request request) { return Handle(std::move(request)); }) {}
+      m_server(
+          context.timers,
+          {.address = QHostAddress(QString::fromStdString(context.options.client_listener.address)),
+           .port = context.options.client_listener.port,
+           .limits = {.max_header_bytes = kMaxHeaderBytes,
+                      .max_body_bytes = kMaxBodyBytes,
+                      .idle_timeout = kIdleTimeout},
+           .drain_timeout = kDrainTimeout},
+          [this](http::Request request) { return Handle(std::move(request)); }) {}
 
 QCoro::Task<Ret> ClientService::Run() {
   const Ret served = co_await m_server.Run();
@@ -62,8 +62,7 @@
   JobId job;
   http::Response response;
   const std::string_view action = ActionName(call);
-  const ClientCall described{
-      .queue = call.queue, .deadline = call.deadline, .action = CountPending{}};
+  const scheduling::QueuePolicy queue = call.queue;
   if (const auto* submit = std::get_if<SubmitJob>(&call.action)) {
     job = submit->definition.id;
     response = co_await Submit(std::move(call), deadline);
@@ -76,12 +75,12 @@
   } else {
     response = co_await Count(std::move(call));
   }
-  Record(action, described, job, response.status, received_at);
+  Record(action, queue, job, response.status, received_at);
   co_return response;
 }
 
-void ClientService::Record(std::string_view action, const ClientCall& call, const JobId& job,
-                           int status, TimePoint received_at) {
+void ClientService::Record(std::string_view action, const scheduling::QueuePolicy& queue,
+                           const JobId& job, int status, TimePoint received_at) {
   const Duration took = m_context.timers.Now() - received_at;
   m_context.metrics
       .Counter("citronferry_fleet_calls_total", "Calls of clients by action and status.",
@@ -97,8 +96,8 @@
   Log(LogLevel::kInfo, "call_answered",
       {{"request", job.view()},
        {"action", action},
-       {"queue", call.queue.name.view()},
-       {"pool", call.queue.pool.view()},
+       {"queue", queue.name.view()},
+       {"pool", queue.pool.view()},
        {"status", status},
        {"took_ms", ToMilliseconds(took)},
        {"configuration", m_context.configuration.Get().version},
--- a/src/fleet/entry/internal/client_service.h
+++ b/src/fleet/entry/internal/client_service.h
@@ -22,8 +22,8 @@
   QCoro::Task<http::Response> Show(ClientCall call);
   QCoro::Task<http::Response> Cancel(ClientCall call, TimePoint deadline);
   QCoro::Task<http::Response> Count(ClientCall call);
-  void Record(std::string_view action, const ClientCall& call, const JobId& job, int status,
-              TimePoint received_at);
+  void Record(std::string_view action, const scheduling::QueuePolicy& queue, const JobId& job,
+              int status, TimePoint received_at);
 
   FleetContext& m_context;
   JobGate m_gate;
--- a/src/fleet/entry/internal/entry_module.cc
+++ b/src/fleet/entry/internal/entry_module.cc
@@ -1,7 +1,6 @@
 #include "fleet/entry/entry_module.h"
 
 #include "fleet/entry/internal/client_service.h"
-#include "fleet/entry/internal/server_address.h"
 
 namespace citronferry::fleet {
 namespace {
@@ -20,9 +19,10 @@
   return {};
 }
 
-ChildSpec MakeServer(FleetContext& context, std::string name, const std::string& address,
+ChildSpec MakeServer(FleetContext& context, std::string name, const document::Endpoint& listener,
                      http::Handler handler) {
-  const http::ServerOptions options{.address = HostOf(address), .port = PortOf(address)};
+  const http::ServerOptions options{
+      .address = QHostAddress(QString::fromStdString(listener.address)), .port = listener.port};
   return {.name = std::move(name), .factory = [&context, options, handler = std::move(handler)] {
             return std::make_unique<http::Server>(context.timers, options, handler);
           }};
@@ -33,9 +33,9 @@
 std::vector<ChildSpec> MakeEntryServers(FleetContext& context) {
   std::vector<ChildSpec> children;
   children.push_back(MakeServer(
-      context, "readiness", context.options.readiness_address,
+      context, "readiness", context.options.readiness_listener,
       [&context](http::Request) -> QCoro::Task<http::Response> { co_return Readiness(context); }));
-  children.push_back(MakeServer(context, "metrics", context.options.metrics_address,
+  children.push_back(MakeServer(context, "metrics", context.options.metrics_listener,
                                 [&context](http::Request) -> QCoro::Task<http::Response> {
                                   co_return http::Response{
                                       .headers = {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/src/fleet/fleet_context.h
+++ b/src/fleet/fleet_context.h
@@ -8,6 +8,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "decisions/scheduling/move_planner.h"
+#include "document/settings.h"
 #include "fleet/interfaces/client_protocol.h"
 #include "fleet/interfaces/configuration.h"
 #include "fleet/interfaces/executors.h"
@@ -23,9 +24,9 @@
 struct FleetOptions {
   std::string name;         ///< Of this entry; unique among the entries.
   std::string incarnation;  ///< Of this process.
-  std::string client_address;
-  std::string readiness_address;
-  std::string metrics_address;
+  document::Endpoint client_listener;
+  document::Endpoint readiness_listener;
+  document::Endpoint metrics_listener;
   double cores = 1;              ///< Processor that this entry may use.
   Duration executor_lease = 5s;  ///< See docs/platform.md, "Ownership".
   Duration status_retention = 130s;
--- a/src/fleet/pool/internal/instance_duties.cc
+++ b/src/fleet/pool/internal/instance_duties.cc
@@ -16,7 +16,6 @@
 // The list is priced; while instances are out it tells when they are back.
 constexpr Duration kListInterval = 700ms;
 constexpr Duration kCheckInterval = 1500ms;
-constexpr double kMillicores = 1000;
 
 }  // namespace
 
@@ -83,8 +82,8 @@
   state.load.waiting = m_owner.scheduler().waiting_cores();
   for (const auto& [id, executor] : m_owner.scheduler().executors()) {
     if (!executor.Usable(now)) continue;
-    state.load.capacity += static_cast<double>(executor.info.capacity.cpu_millicores) / kMillicores;
-    state.load.used += static_cast<double>(executor.used.cpu_millicores) / kMillicores;
+    state.load.capacity += scheduling::Cores(executor.info.capacity);
+    state.load.used += scheduling::Cores(executor.used);
   }
   state.out_of_service = static_cast<int>(m_duties.size());
   std::vector<scheduling::MaintenanceCandidate> candidates;
@@ -111,14 +110,10 @@
       m_owner.scheduler().SetRetiring(instance->executor, true);
       continue;
     }
-    const auto lasting = std::count_if(
-        executor->runs.begin(), executor->runs.end(),
-        [](const scheduling::RunRef& ref) { return ref.job->spec(ref.task.step).lasting; });
-    candidates.push_back(
-        {.instance = id,
-         .cores = static_cast<double>(executor->info.capacity.cpu_millicores) / kMillicores,
-         .used_cores = static_cast<double>(executor->used.cpu_millicores) / kMillicores,
-         .lasting_tasks = static_cast<int>(lasting)});
+    candidates.push_back({.instance = id,
+                          .cores = scheduling::Cores(executor->info.capacity),
+                          .used_cores = scheduling::Cores(executor->used),
+                          .lasting_tasks = executor->lasting_tasks()});
   }
   for (const InstanceId& id : ChooseForMaintenance(candidates, state)) {
     const scheduling::ExecutorId executor = m_directory.Find(id)->executor;
--- a/src/fleet/pool/internal/instance_mover.cc
+++ b/src/fleet/pool/internal/instance_mover.cc
@@ -24,7 +24,6 @@
 constexpr Duration kMaxListAge = 1500ms;
 // Orders without an answer are carried out up to this much later.
 constexpr Duration kLateOrders = 12s;
-constexpr double kMillicores = 1000;
 
 }  // namespace
 
@@ -85,8 +84,8 @@
   for (const auto& [id, executor] : m_owner.scheduler().executors()) {
     if (!executor.listed || executor.info.leaving || executor.retiring) continue;
     ++demand.instances;
-    capacity += static_cast<double>(executor.info.capacity.cpu_millicores) / kMillicores;
-    used += static_cast<double>(executor.used.cpu_millicores) / kMillicores;
+    capacity += scheduling::Cores(executor.info.capacity);
+    used += scheduling::Cores(executor.used);
     if (IsIdle(id) && m_owner.HasSettled({.executor = id})) ++demand.movable;
   }
   m_forecast.Update(capacity, now);
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -9,6 +9,7 @@
 #include "fleet/pool/internal/instance_duties.h"
 #include "fleet/pool/internal/instance_mover.h"
 #include "fleet/tables.h"
+#include "supervision/time_of_day.h"
 #include "telemetry/log.h"
 
 namespace citronferry::fleet {
@@ -35,12 +36,6 @@
 constexpr double kSlowClock = 0.98;
 constexpr Duration kLeaseMargin = 200ms;
 
-int64_t UnixMilliseconds() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 PoolOwner::PoolOwner(FleetContext& context, PoolName pool, Ownership ownership)
@@ -122,7 +117,12 @@
   if (!jobs.ok()) co_return jobs.ret();
   for (const Row& row : links->rows) {
     const auto link = DecodeLink(scheduling::ExecutorId(row.key.key), row.value);
-    if (link.ok()) m_scheduler->InheritExecutor(link.value());
+    if (link.ok()) {
+      m_scheduler->InheritExecutor(link.value());
+    } else {
+      Log(LogLevel::kError, "link_unreadable",
+          {{"executor", row.key.key}, {"error", link.ret().message()}});
+    }
   }
   std::map<JobId, scheduling::JobProgress> states;
   for (const Row& row : progress->rows) {
@@ -131,25 +131,20 @@
       states.emplace(JobId(row.key.key), std::move(state).value());
     } else {
       Log(LogLevel::kError, "progress_unreadable",
-          {{"job", row.key.key}, {"error", state.ret().message()}});
+          {{"request", row.key.key}, {"error", state.ret().message()}});
     }
   }
   const TimePoint now = m_context.timers.Now();
   const int64_t unix_ms = UnixMilliseconds();
   for (const Row& row : jobs->rows) {
     if (CancelledJob(row.key.key)) continue;
-    auto job = DecodeJob(JobId(row.key.key), row.value);
-    if (!job.ok()) {
-      Log(LogLevel::kError, "job_unreadable",
-          {{"job", row.key.key}, {"error", job.ret().message()}});
-      continue;
-    }
+    const auto job = ReadDefinition(row);
+    if (!job) continue;
     const Duration age =
         std::clamp<Duration>(std::chrono::milliseconds(unix_ms - job->accepted_unix_ms),
                              Duration::zero(), kMaxInheritedAge);
     const auto state = states.find(job->id);
-    m_scheduler->AddJob(std::make_shared<scheduling::JobDefinition>(std::move(job).value()),
-                        state == states.end() ? nullptr : &state->second, now - age, true);
+    m_scheduler->AddJob(job, state == states.end() ? nullptr : &state->second, now - age, true);
   }
   for (const Row& row : jobs->rows) {
     if (const auto job = CancelledJob(row.key.key)) m_scheduler->CancelJob(*job, now);
@@ -194,13 +189,21 @@
       continue;
     }
     backoff.Reset();
-    ApplyRows(changed, false);
+    ApplyRows(changed);
     Pump();
     co_await SleepFor(m_context.timers, kFollowPause, &m_ended);
   }
 }
 
-void PoolOwner::ApplyRows(std::span<const Row> rows, bool inherited) {
+std::shared_ptr<const scheduling::JobDefinition> PoolOwner::ReadDefinition(const Row& row) const {
+  auto job = DecodeJob(JobId(row.key.key), row.value);
+  if (job.ok()) return std::make_shared<scheduling::JobDefinition>(std::move(job).value());
+  Log(LogLevel::kError, "job_unreadable",
+      {{"request", row.key.key}, {"error", job.ret().message()}});
+  return nullptr;
+}
+
+void PoolOwner::ApplyRows(std::span<const Row> rows) {
   const TimePoint now = m_context.timers.Now();
   for (const Row& row : rows) {
     if (const auto cancelled = CancelledJob(row.key.key)) {
@@ -208,15 +211,10 @@
       continue;
     }
     if (m_scheduler->HoldsJob(JobId(row.key.key))) continue;
-    auto job = DecodeJob(JobId(row.key.key), row.value);
-    if (!job.ok()) {
-      Log(LogLevel::kError, "job_unreadable",
-          {{"job", row.key.key}, {"error", job.ret().message()}});
-      continue;
-    }
-    const auto definition = std::make_shared<scheduling::JobDefinition>(std::move(job).value());
+    const auto definition = ReadDefinition(row);
+    if (!definition) continue;
     WriteNewJob(*definition);
-    m_scheduler->AddJob(definition, nullptr, now, inherited);
+    m_scheduler->AddJob(definition, nullptr, now, false);
     m_mover->ObserveArrival(m_scheduler->WorkOf(*definition));
   }
 }
@@ -315,6 +313,14 @@
   }
 }
 
+template <typename Order>
+void PoolOwner::Send(std::vector<Order>& orders) {
+  for (Order& order : orders) {
+    const auto link = m_links.find(order.executor);
+    if (link != m_links.end()) link->second->Send(std::move(order));
+  }
+}
+
 void PoolOwner::Pump() {
   if (m_ended.requested()) return;
   for (auto& request : m_scheduler->TakeTicketRequests(m_context.timers.Now())) {
@@ -322,18 +328,9 @@
   }
   if (m_scheduler->plan_needed() && may_order()) {
     Orders orders = m_scheduler->Plan(m_context.timers.Now());
-    for (auto& start : orders.starts) {
-      const auto link = m_links.find(start.executor);
-      if (link != m_links.end()) link->second->Send(std::move(start));
-    }
-    for (auto& stop : orders.stops) {
-      const auto link = m_links.find(stop.executor);
-      if (link != m_links.end()) link->second->Send(std::move(stop));
-    }
-    for (auto& pace : orders.paces) {
-      const auto link = m_links.find(pace.executor);
-      if (link != m_links.end()) link->second->Send(std::move(pace));
-    }
+    Send(orders.starts);
+    Send(orders.stops);
+    Send(orders.paces);
   }
   WriteNotes();
   if (m_scheduler->has_dirty()) m_commits->Wake();
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -63,7 +63,11 @@
   QCoro::Task<void> FollowJobs();
   QCoro::Task<void> Tick();
   QCoro::Task<void> AskAdviser();
-  void ApplyRows(std::span<const Row> rows, bool inherited);
+  void ApplyRows(std::span<const Row> rows);
+  /// @return the definition in a row, or nothing, with a log line, if it can not be read.
+  std::shared_ptr<const scheduling::JobDefinition> ReadDefinition(const Row& row) const;
+  template <typename Order>
+  void Send(std::vector<Order>& orders);
   void ApplyRegistry();
   void ApplyConfiguration();
   void SyncLinks();
--- a/src/http/internal/message.cc
+++ b/src/http/internal/message.cc
@@ -1,5 +1,6 @@
 #include "http/message.h"
 
+#include <QUrl>
 #include <algorithm>
 #include <cctype>
 
@@ -23,6 +24,12 @@
   return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
 
+std::string PercentEncode(std::string_view text) {
+  return QUrl::toPercentEncoding(
+             QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size())))
+      .toStdString();
+}
+
 Response MakeErrorResponse(int status, std::string_view code, std::string_view message) {
   std::string body = "{\"error\":";
   AppendJsonString(body, code);
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -40,6 +40,9 @@
   QByteArray body;
 };
 
+/// @return the text percent-encoded for a path segment or a value of a query.
+std::string PercentEncode(std::string_view text);
+
 /// @return a response with a JSON body {"error": code, "message": message}.
 Response MakeErrorResponse(int status, std::string_view code, std::string_view message);
 
--- a/src/platform/internal/announcements.cc
+++ b/src/platform/internal/announcements.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "json/reader.h"
+#include "platform/internal/wire.h"
 
 namespace citronferry::platform {
 namespace {
@@ -76,6 +77,13 @@
   }
 }
 
+template <typename Changes>
+Changes Collect(std::span<const Row> rows, int64_t version) {
+  Changes changes{.version = version};
+  Decode(rows, changes);
+  return changes;
+}
+
 }  // namespace
 
 RetVal<Configuration> DecodeConfiguration(std::string_view text) {
@@ -142,11 +150,11 @@
   if (!executor.leaving && state != "ready") {
     return Ret(ErrorCode::kInvalidArgument, "unknown state " + state);
   }
-  if (const bj::array* labels = reader.Array("labels")) {
+  const bj::array* labels = reader.Array("labels");
+  if (labels) {
     for (const bj::value& label : *labels) executor.labels.emplace_back(json::AsText(label));
   }
-  // The labels are the executor's kind and, last, its rack.
-  if (!executor.labels.empty()) executor.rack = RackName(executor.labels.back());
+  executor.rack = RackOf(labels);
   if (const bj::value* capacity = reader.Find("capacity")) {
     json::ObjectReader room(*capacity);
     executor.capacity = {.cpu_millicores = room.Integer("cpu"),
@@ -162,35 +170,28 @@
   const auto range =
       co_await fleet::ReadPartition(m_rows, std::string(kOperatorTable), std::string());
   if (!range.ok()) co_return range.ret();
-  OperatorChanges changes{.version = range->version};
-  Decode(range->rows, changes);
-  co_return changes;
+  co_return Collect<OperatorChanges>(range->rows, range->version);
 }
 
 QCoro::Task<RetVal<OperatorChanges>> StoreAnnouncements::FollowOperator(int64_t after,
                                                                         Duration wait) {
   const auto rows = co_await m_rows.Follow(std::string(kOperatorTable), after, wait);
   if (!rows.ok()) co_return rows.ret();
-  OperatorChanges changes{.version = rows->version};
-  Decode(rows->changed, changes);
-  co_return changes;
+  co_return Collect<OperatorChanges>(rows->changed, rows->version);
 }
 
 QCoro::Task<RetVal<RegistryChanges>> StoreAnnouncements::ReadRegistry() {
   const auto range =
       co_await fleet::ReadPartition(m_rows, std::string(kRegistryTable), std::string());
   if (!range.ok()) co_return range.ret();
-  RegistryChanges changes{.version = range->version};
-  Decode(range->rows, changes);
-  co_return changes;
+  co_return Collect<RegistryChanges>(range->rows, range->version);
 }
 
 QCoro::Task<RetVal<RegistryChanges>> StoreAnnouncements::FollowRegistry(int64_t after,
                                                                         Duration wait) {
   const auto rows = co_await m_rows.Follow(std::string(kRegistryTable), after, wait);
   if (!rows.ok()) co_return rows.ret();
-  RegistryChanges changes{.version = rows->version};
-  Decode(rows->changed, changes);
+  RegistryChanges changes = Collect<RegistryChanges>(rows->changed, rows->version);
   for (const fleet::RowKey& key : rows->removed) changes.removed.emplace_back(key.key);
   co_return changes;
 }
--- a/src/platform/internal/client_protocol.cc
+++ b/src/platform/internal/client_protocol.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "json/reader.h"
+#include "supervision/time_of_day.h"
 
 namespace citronferry::platform {
 namespace {
@@ -100,9 +101,7 @@
       job.schedule.occurrences < 0) {
     return Ret(ErrorCode::kInvalidArgument, "the job has no steps, too many, or is too large");
   }
-  job.accepted_unix_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-                             std::chrono::system_clock::now().time_since_epoch())
-                             .count();
+  job.accepted_unix_ms = UnixMilliseconds();
   return job;
 }
 
--- a/src/platform/internal/executors.cc
+++ b/src/platform/internal/executors.cc
@@ -1,11 +1,11 @@
 #include "platform/internal/executors.h"
 
-#include <algorithm>
 #include <array>
 #include <utility>
 
 #include "json/reader.h"
 #include "platform/internal/task_name.h"
+#include "platform/internal/wire.h"
 
 namespace citronferry::platform {
 namespace {
@@ -18,29 +18,21 @@
 using scheduling::StopAnswer;
 namespace bj = boost::json;
 
-template <typename Value>
-using NamedValue = std::pair<std::string_view, Value>;
+constexpr std::array<Word<RunEnd>, 6> kEnds{{{"done", RunEnd::kDone},
+                                             {"failed", RunEnd::kFailed},
+                                             {"stopped", RunEnd::kStopped},
+                                             {"lapsed", RunEnd::kLapsed},
+                                             {"broken", RunEnd::kBroken},
+                                             {"alone", RunEnd::kAlone}}};
 
-constexpr std::array<NamedValue<RunEnd>, 6> kEnds{{{"done", RunEnd::kDone},
-                                                   {"failed", RunEnd::kFailed},
-                                                   {"stopped", RunEnd::kStopped},
-                                                   {"lapsed", RunEnd::kLapsed},
-                                                   {"broken", RunEnd::kBroken},
-                                                   {"alone", RunEnd::kAlone}}};
-
-constexpr std::array<NamedValue<StartAnswer>, 5> kRefusals{
-    {{"fence", StartAnswer::kFenced},
-     {"old", StartAnswer::kRunOutdated},
-     {"late", StartAnswer::kDeadlinePassed},
-     {"room", StartAnswer::kNoRoom},
-     {"ticket", StartAnswer::kTicketInvalid}}};
+constexpr std::array<Word<StartAnswer>, 5> kRefusals{{{"fence", StartAnswer::kFenced},
+                                                      {"old", StartAnswer::kRunOutdated},
+                                                      {"late", StartAnswer::kDeadlinePassed},
+                                                      {"room", StartAnswer::kNoRoom},
+                                                      {"ticket", StartAnswer::kTicketInvalid}}};
 
 constexpr int kStatusOtherIncarnation = 421;
 
-std::string_view BodyText(const http::Response& response) {
-  return {response.body.constData(), static_cast<size_t>(response.body.size())};
-}
-
 std::string RefusalReason(const http::Response& response) {
   const auto body = json::Parse(BodyText(response));
   return body.ok() ? json::ObjectReader(body.value()).Text("reason") : std::string();
@@ -69,11 +61,9 @@
   const auto number = json::AsInteger((*row)[0]);
   const auto task = ParseTask(json::AsText((*row)[1]));
   const auto run = json::AsInteger((*row)[2]);
-  const auto* const end = std::find_if(
-      kEnds.begin(), kEnds.end(),
-      [name = json::AsText((*row)[3])](const auto& entry) { return entry.first == name; });
-  if (!number || !task || !run || end == kEnds.end()) return std::nullopt;
-  EndedRun ended{.number = *number, .task = *task, .run = *run, .end = end->second};
+  const auto end = FindWord(kEnds, json::AsText((*row)[3]));
+  if (!number || !task || !run || !end) return std::nullopt;
+  EndedRun ended{.number = *number, .task = *task, .run = *run, .end = *end};
   if (row->size() > 4) ended.checkpoint = json::AsText((*row)[4]);
   return ended;
 }
@@ -169,10 +159,7 @@
       co_return StartAnswer::kOtherExecutor;
     case 409: {
       const std::string reason = RefusalReason(response.value());
-      const auto* const found =
-          std::find_if(kRefusals.begin(), kRefusals.end(),
-                       [&](const auto& entry) { return entry.first == reason; });
-      co_return found == kRefusals.end() ? StartAnswer::kUnknown : found->second;
+      co_return FindWord(kRefusals, reason).value_or(StartAnswer::kUnknown);
     }
     default:
       co_return StartAnswer::kUnknown;
--- a/src/platform/internal/instances.cc
+++ b/src/platform/internal/instances.cc
@@ -1,10 +1,9 @@
 #include "platform/internal/instances.h"
 
-#include <QUrl>
-#include <algorithm>
 #include <array>
 
 #include "json/reader.h"
+#include "platform/internal/wire.h"
 
 namespace citronferry::platform {
 namespace {
@@ -16,15 +15,10 @@
 
 constexpr Duration kCallTimeout = 1000ms;
 
-constexpr std::array<std::pair<std::string_view, InstanceState>, 4> kStates{
-    {{"up", InstanceState::kUp},
-     {"moving", InstanceState::kMoving},
-     {"upkeep", InstanceState::kInMaintenance},
-     {"down", InstanceState::kDown}}};
-
-std::string_view BodyText(const http::Response& response) {
-  return {response.body.constData(), static_cast<size_t>(response.body.size())};
-}
+constexpr std::array<Word<InstanceState>, 4> kStates{{{"up", InstanceState::kUp},
+                                                      {"moving", InstanceState::kMoving},
+                                                      {"upkeep", InstanceState::kInMaintenance},
+                                                      {"down", InstanceState::kDown}}};
 
 Instance DecodeInstance(const bj::value& value) {
   json::ObjectReader reader(value);
@@ -32,13 +26,8 @@
   instance.id = InstanceId(reader.Text("machineId"));
   instance.pool = PoolName(reader.Text("pool"));
   instance.executor = scheduling::ExecutorId(reader.Text("id"));
-  const std::string state = reader.Text("state");
-  const auto* const found = std::find_if(kStates.begin(), kStates.end(),
-                                         [&](const auto& entry) { return entry.first == state; });
-  if (found != kStates.end()) instance.state = found->second;
-  if (const bj::array* labels = reader.Array("labels"); labels && !labels->empty()) {
-    instance.rack = RackName(json::AsText(labels->back()));
-  }
+  instance.state = FindWord(kStates, reader.Text("state")).value_or(InstanceState::kDown);
+  instance.rack = RackOf(reader.Array("labels"));
   return instance;
 }
 
@@ -50,7 +39,7 @@
   do {
     std::string url = "http://" + m_address + "/v1/machines";
     if (!page.empty()) {
-      url += "?pageToken=" + QUrl::toPercentEncoding(QString::fromStdString(page)).toStdString();
+      url += "?pageToken=" + http::PercentEncode(page);
     }
     http::ClientRequest request{
         .url = url, .timeout = kCallTimeout, .idempotency = http::Idempotency::kIdempotent};
--- a/src/platform/internal/row_store.cc
+++ b/src/platform/internal/row_store.cc
@@ -1,9 +1,9 @@
 #include "platform/internal/row_store.h"
 
-#include <QUrl>
 #include <utility>
 
 #include "json/reader.h"
+#include "platform/internal/wire.h"
 
 namespace citronferry::platform {
 namespace {
@@ -22,12 +22,6 @@
 // Beyond the wait for a change, for an answer on its way.
 constexpr Duration kFollowSlack = 1000ms;
 
-std::string Encode(std::string_view text) {
-  return QUrl::toPercentEncoding(
-             QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size())))
-      .toStdString();
-}
-
 std::string ToBase64(std::string_view bytes) {
   return QByteArrayView(bytes.data(), static_cast<qsizetype>(bytes.size()))
       .toByteArray()
@@ -67,10 +61,6 @@
   return {ErrorCode::kUnavailable, "the store answered " + std::to_string(status)};
 }
 
-std::string_view BodyText(const http::Response& response) {
-  return {response.body.constData(), static_cast<size_t>(response.body.size())};
-}
-
 TransactionResult DecodeTransaction(const http::Response& response) {
   TransactionResult result;
   const auto body = json::Parse(BodyText(response));
@@ -107,10 +97,11 @@
 
 QCoro::Task<RetVal<RowRange>> HttpRowStore::Read(std::string table, std::string partition,
                                                  std::string from, std::string to) {
-  std::string query = "/v1/rows-get?tableName=" + Encode(table) + "&part=" + Encode(partition);
-  if (!from.empty()) query += "&from=" + Encode(from);
+  std::string query = "/v1/rows-get?tableName=" + http::PercentEncode(table) +
+                      "&part=" + http::PercentEncode(partition);
+  if (!from.empty()) query += "&from=" + http::PercentEncode(from);
   // The end of the range, which it excludes.
-  if (!to.empty()) query += "&target=" + Encode(to);
+  if (!to.empty()) query += "&target=" + http::PercentEncode(to);
   const auto response = co_await Get(std::move(query), kReadTimeout);
   if (!response.ok()) co_return response.ret();
   if (response->status != 200) co_return StatusError(response->status);
@@ -183,10 +174,10 @@
 
 QCoro::Task<RetVal<RowChanges>> HttpRowStore::Follow(std::string table, int64_t after,
                                                      Duration wait) {
-  const auto response =
-      co_await Get("/v1/rows-feed?tableName=" + Encode(table) + "&after=" + std::to_string(after) +
-                       "&waitMs=" + std::to_string(ToMilliseconds(wait)),
-                   wait + kFollowSlack);
+  const auto response = co_await Get("/v1/rows-feed?tableName=" + http::PercentEncode(table) +
+                                         "&after=" + std::to_string(after) +
+                                         "&waitMs=" + std::to_string(ToMilliseconds(wait)),
+                                     wait + kFollowSlack);
   if (!response.ok()) co_return response.ret();
   if (response->status != 200) co_return StatusError(response->status);
   const auto body = json::Parse(BodyText(response.value()));
--- a/src/platform/internal/settings.cc
+++ b/src/platform/internal/settings.cc
@@ -1,6 +1,6 @@
 #include "platform/settings.h"
 
-#include <QHostAddress>
+#include <optional>
 #include <sstream>
 
 #include "base/toml.h"
@@ -19,15 +19,22 @@
     return value.value_or("");
   }
 
-  // An IP address and port; optional ones may be absent.
+  // An IP address and port; nothing, with a fault, if there is none.
+  std::optional<document::Endpoint> Endpoint(std::string_view path) {
+    auto endpoint = document::ParseEndpoint(m_table.at_path(path).value_or(std::string()));
+    if (endpoint && endpoint->port != 0) return endpoint;
+    AddFault(path, "is not an IP address with a port");
+    return std::nullopt;
+  }
+
+  document::Endpoint Listener(std::string_view path) {
+    return Endpoint(path).value_or(document::Endpoint{});
+  }
+
+  // The address of a dependency; optional ones may be absent.
   std::string Address(std::string_view path, bool required) {
-    const std::string text = m_table.at_path(path).value_or(std::string());
-    if (text.empty() && !required) return text;
-    const size_t colon = text.rfind(':');
-    const bool valid = colon != std::string::npos &&
-                       !QHostAddress(QString::fromStdString(text.substr(0, colon))).isNull() &&
-                       QByteArray::fromStdString(text.substr(colon + 1)).toUShort() != 0;
-    if (!valid) AddFault(path, "is not an IP address with a port");
+    std::string text = m_table.at_path(path).value_or(std::string());
+    if (required || !text.empty()) Endpoint(path);
     return text;
   }
 
@@ -69,8 +76,8 @@
   settings.name = reader.Text("nodeName");
   settings.ip = reader.Text("ip");
   settings.data_centre = DataCentreName(reader.Text("zone"));
-  settings.client_address = reader.Address("listen.front", true);
-  settings.readiness_address = reader.Address("listen.readiness", true);
+  settings.client_listener = reader.Listener("listen.front");
+  settings.readiness_listener = reader.Listener("listen.readiness");
   settings.store_address = reader.Address("platform.address", true);
   settings.instances_address = reader.Address("cloudApi.address", false);
   settings.adviser_address = reader.Address("advice", false);
--- a/src/platform/settings.h
+++ b/src/platform/settings.h
@@ -7,6 +7,7 @@
 #include "base/ids.h"
 #include "base/ret.h"
 #include "base/time.h"
+#include "document/settings.h"
 
 namespace citronferry::platform {
 
@@ -18,8 +19,9 @@
   std::string name;
   std::string ip;
   DataCentreName data_centre;
-  std::string client_address;     ///< Where clients reach the entry.
-  std::string readiness_address;  ///< Where the balancer asks whether the entry takes connections.
+  document::Endpoint client_listener;  ///< Where clients reach the entry.
+  document::Endpoint
+      readiness_listener;  ///< Where the balancer asks whether the entry takes connections.
   std::string store_address;
   std::string instances_address;
   std::string adviser_address;  ///< Empty if there is no placement adviser.
--- a/src/provider/internal/http_instance_service.cc
+++ b/src/provider/internal/http_instance_service.cc
@@ -45,7 +45,7 @@
 
 QCoro::Task<Ret> HttpInstanceService::Reboot(InstanceId instance) {
   ProviderCall call{.method = "POST",
-                    .path = "/v1/instances/" + EncodePathSegment(instance.view()) + "/reboot"};
+                    .path = "/v1/instances/" + http::PercentEncode(instance.view()) + "/reboot"};
   const auto response = co_await m_caller.Send(std::move(call));
   if (!response.ok()) co_return response.ret();
   if (response->status != 202) co_return StatusError(response.value(), "reboot of an instance");
--- a/src/provider/internal/http_object_store.cc
+++ b/src/provider/internal/http_object_store.cc
@@ -3,7 +3,7 @@
 namespace citronferry::provider {
 namespace {
 
-std::string ObjectPath(std::string_view key) { return "/v1/objects/" + EncodePathSegment(key); }
+std::string ObjectPath(std::string_view key) { return "/v1/objects/" + http::PercentEncode(key); }
 
 }  // namespace
 
--- a/src/provider/internal/http_table_service.cc
+++ b/src/provider/internal/http_table_service.cc
@@ -9,7 +9,7 @@
 namespace {
 
 std::string RowPath(const RowKey& key) {
-  return "/v1/tables/" + EncodePathSegment(key.table) + "/rows/" + EncodePathSegment(key.key);
+  return "/v1/tables/" + http::PercentEncode(key.table) + "/rows/" + http::PercentEncode(key.key);
 }
 
 std::string QuoteVersion(uint64_t version) { return '"' + std::to_string(version) + '"'; }
@@ -91,7 +91,7 @@
 }
 
 QCoro::Task<RetVal<ChangeBatch>> HttpTableService::Changes(std::string table, uint64_t after) {
-  ProviderCall call{.path = "/v1/tables/" + EncodePathSegment(table) +
+  ProviderCall call{.path = "/v1/tables/" + http::PercentEncode(table) +
                             "/changes?after=" + std::to_string(after)};
   const auto response = co_await m_caller.Send(std::move(call));
   if (!response.ok()) co_return response.ret();
--- a/src/provider/internal/provider_call.cc
+++ b/src/provider/internal/provider_call.cc
@@ -1,7 +1,5 @@
 #include "provider/internal/provider_call.h"
 
-#include <QUrl>
-
 namespace citronferry::provider {
 
 QCoro::Task<RetVal<http::Response>> ProviderCaller::Send(ProviderCall call) {
@@ -33,12 +31,6 @@
   co_return response;
 }
 
-std::string EncodePathSegment(std::string_view text) {
-  return QUrl::toPercentEncoding(
-             QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size())))
-      .toStdString();
-}
-
 Ret StatusError(const http::Response& response, std::string_view what) {
   const std::string message = std::string(what) + ": status " + std::to_string(response.status);
   switch (response.status) {
--- a/src/provider/internal/provider_call.h
+++ b/src/provider/internal/provider_call.h
@@ -31,9 +31,6 @@
   const ProviderOptions& m_options;
 };
 
-/// @return the text percent-encoded for one path segment.
-std::string EncodePathSegment(std::string_view text);
-
 /// Maps a status that is not a success to an error.
 Ret StatusError(const http::Response& response, std::string_view what);
 
