Stop lasting tasks only within their budget, also on leaving executors and when repeated

An executor that begins to leave had all its lasting tasks stopped at once, although a stop for maintenance was under way in the same step; and a stop without an answer was repeated every 500 ms, also after another task of the step had gone. Both now go through LeavesEnoughAtWork; what may not be stopped yet is looked at again with each tick. OrderStop also asks for a plan, since orders leave with one. Ruled out: a stop of a task on an executor that isn't in touch (checked before), adoption after a takeover. Before: TasksOfLeavingExecutorsMoveWithinTheirBudget 2 away of 1 allowed, StopIsNotRepeatedWhileAnotherTaskIsAway 2 starts of 1. After: both pass, 32 of 32 scheduling tests.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -80,10 +80,7 @@
   if (started_leaving) {
     Note("executor_leaving", {}, 0, info.id);
     // It ends soon with all that runs there; lasting tasks move while others can finish.
-    for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
-      Run* run = FindRun(ref.task, ref.run, info.id);
-      if (run && ref.job->spec(ref.task.step).lasting) OrderStop(ref.task, *run, now);
-    }
+    MoveLastingTasks(executor, now);
   }
   m_plan_needed = true;
 }
@@ -177,13 +174,8 @@
       }
       continue;
     }
-    for (const RunRef& ref : executor.runs) {
-      Run* run = FindRun(ref.task, ref.run, id);
-      // Without a confirmation the stop is repeated; with one, the end follows.
-      if (run && run->phase == RunPhase::kStopping && !run->settled_at) {
-        OrderStop(ref.task, *run, now);
-      }
-    }
+    RepeatStops(executor, now);
+    if (executor.info.leaving) MoveLastingTasks(executor, now);
   }
   for (const JobId& id : m_open_jobs) {
     Job& job = *FindJobMutable(id);
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -13,6 +13,8 @@
 constexpr Duration kStopRepeat = 500ms;
 // An executor refused for want of room: its own view is newer than ours until the next report.
 constexpr Duration kNoRoomPause = 100ms;
+// A lasting task that reports this is at work.
+constexpr int kAtWorkPercent = 100;
 
 }  // namespace
 
@@ -67,6 +69,7 @@
   // Only the answer to this order tells whether the run can still appear.
   run.settled_at.reset();
   m_orders.stops.push_back({.executor = run.executor, .task = task, .run = run.id});
+  m_plan_needed = true;  // Orders leave with the next plan.
 }
 
 void PoolScheduler::StopRun(const StopOrder& stop, TimePoint now) {
@@ -160,41 +163,62 @@
   if (Run* run = FindRun(order.task, order.run, order.executor)) run->settled_at = now;
 }
 
+bool PoolScheduler::LeavesEnoughAtWork(const RunRef& ref, int also_stopped) const {
+  const StepSpec& spec = ref.job->spec(ref.task.step);
+  if (spec.max_unavailable <= 0) return true;
+  const std::vector<Task>& tasks = ref.job->occurrences()
+                                       .at(ref.task.occurrence)
+                                       .steps[static_cast<size_t>(ref.task.step)]
+                                       .tasks;
+  // What runs on a silent executor may have ended long ago.
+  const auto at_work = [this](const Task& task) {
+    return std::any_of(task.runs.begin(), task.runs.end(), [this](const Run& run) {
+      const auto executor = m_executors.find(run.executor);
+      return run.phase == RunPhase::kRunning && run.percent >= kAtWorkPercent &&
+             executor != m_executors.end() && executor->second.in_touch;
+    });
+  };
+  const Task& own = tasks[static_cast<size_t>(ref.task.index)];
+  const auto others_away = std::count_if(tasks.begin(), tasks.end(), [&](const Task& task) {
+    return &task != &own && !at_work(task);
+  });
+  return others_away + also_stopped < spec.max_unavailable;
+}
+
 std::vector<StopOrder> PoolScheduler::StopsWithinBudget(const ExecutorId& id) const {
   std::vector<StopOrder> stops;
   const auto found = m_executors.find(id);
   if (found == m_executors.end()) return stops;
   std::map<std::tuple<JobId, int, int>, int> stopped_now;  // By step of an occurrence.
   for (const RunRef& ref : found->second.runs) {
-    const StepSpec& spec = ref.job->spec(ref.task.step);
-    if (!spec.lasting) continue;
-    const std::vector<Task>& tasks = ref.job->occurrences()
-                                         .at(ref.task.occurrence)
-                                         .steps[static_cast<size_t>(ref.task.step)]
-                                         .tasks;
-    constexpr int kAtWork = 100;  // Percent.
-    // What runs on a silent executor may have ended long ago.
-    const auto at_work = [this](const Task& task) {
-      return std::any_of(task.runs.begin(), task.runs.end(), [this](const Run& run) {
-        const auto executor = m_executors.find(run.executor);
-        return run.phase == RunPhase::kRunning && run.percent >= kAtWork &&
-               executor != m_executors.end() && executor->second.in_touch;
-      });
-    };
-    const Task& own = tasks[static_cast<size_t>(ref.task.index)];
+    if (!ref.job->spec(ref.task.step).lasting) continue;
+    const Task& task = *ref.job->FindTask(ref.task);
     int& stopped = stopped_now[{ref.task.job, ref.task.occurrence, ref.task.step}];
-    const auto others_away = std::count_if(tasks.begin(), tasks.end(), [&](const Task& task) {
-      return &task != &own && !at_work(task);
-    });
-    const bool allowed = spec.max_unavailable <= 0 || others_away + stopped < spec.max_unavailable;
-    const bool stopping = std::any_of(own.runs.begin(), own.runs.end(), [](const Run& run) {
+    const bool stopping = std::any_of(task.runs.begin(), task.runs.end(), [](const Run& run) {
       return run.phase == RunPhase::kStopping;
     });
-    if (!allowed || stopping) continue;
+    if (stopping || !LeavesEnoughAtWork(ref, stopped)) continue;
     stops.push_back({.executor = id, .task = ref.task, .run = ref.run});
     ++stopped;
   }
   return stops;
 }
 
+void PoolScheduler::MoveLastingTasks(const ExecutorState& executor, TimePoint now) {
+  for (const StopOrder& stop : StopsWithinBudget(executor.info.id)) StopRun(stop, now);
+}
+
+void PoolScheduler::RepeatStops(const ExecutorState& executor, TimePoint now) {
+  for (const RunRef& ref : executor.runs) {
+    Run* run = FindRun(ref.task, ref.run, executor.info.id);
+    // With a confirmation the end follows.
+    if (!run || run->phase != RunPhase::kStopping || run->settled_at) continue;
+    // Since the first attempt, another task of the step may have gone.
+    const bool ends_work = ref.job->spec(ref.task.step).lasting && !ref.job->is_final() &&
+                           run->percent >= kAtWorkPercent;
+    if (ends_work && !LeavesEnoughAtWork(ref, 0)) continue;
+    OrderStop(ref.task, *run, now);
+  }
+}
+
 }  // namespace citronferry::scheduling
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -183,6 +183,13 @@
   void StopAllRuns(Job& job, TimePoint now);
   void StopOtherRuns(Job& job, const TaskId& task, int64_t except_run, TimePoint now);
   void OrderStop(const TaskId& task, Run& run, TimePoint now);
+  /// Repeats stops that were not confirmed.
+  void RepeatStops(const ExecutorState& executor, TimePoint now);
+  /// Stops lasting tasks of an executor, so that they start elsewhere, as their budgets allow.
+  void MoveLastingTasks(const ExecutorState& executor, TimePoint now);
+  /// @param also_stopped tasks of the same step that are being stopped besides.
+  /// @return whether the budget of a run's step allows to end the run.
+  bool LeavesEnoughAtWork(const RunRef& ref, int also_stopped) const;
   void Finish(Job& job, TimePoint now);
   void MarkDirty(const Job& job);
   void Note(std::string_view event, const TaskId& task, int64_t run, const ExecutorId& executor,
