Spread a pool's jobs over partitions of their own; count each failed run once

A partition takes 200 a second and answers 429 when more than a second of them waits, so commits failed for seconds and the ownership was lost again and again. Jobs are now in four partitions by the hash of their id; definitions of expired jobs are removed by a task of their own before the progress goes, since a definition without progress is a new job. Each counted run is now part of the progress. Tests, each failing before: FailureIsCountedOnceIfOnlyTheProgressIsDurable, FailuresCountInAnyOrderAndOnce, SubmissionsOfASurgeLeaveTheOwnersPartitionAlone; DefinitionIsRemovedBeforeItsProgress.

--- a/src/decisions/scheduling/internal/commit.cc
+++ b/src/decisions/scheduling/internal/commit.cc
@@ -42,11 +42,9 @@
     batch.removed_links.push_back(*m_removed_links.begin());
     m_removed_links.erase(m_removed_links.begin());
   }
-  // A forgotten job has three rows.
-  while (batch.size() + 2 < max_rows && !m_forgotten_jobs.empty()) {
+  while (room() && !m_forgotten_jobs.empty()) {
     batch.forgotten_jobs.push_back(*m_forgotten_jobs.begin());
     m_forgotten_jobs.erase(m_forgotten_jobs.begin());
-    max_rows -= 2;
   }
   // An end may be acknowledged only when the progress of every job it concerns is in the batch.
   if (!m_dirty_jobs.empty()) return batch;
@@ -76,6 +74,20 @@
   }
 }
 
+std::vector<JobId> PoolScheduler::TakeExpiredJobs() {
+  std::vector<JobId> expired(m_expired_jobs.begin(), m_expired_jobs.end());
+  m_expired_jobs.clear();
+  return expired;
+}
+
+void PoolScheduler::OnDefinitionsRemoved(std::span<const JobId> jobs) {
+  m_forgotten_jobs.insert(jobs.begin(), jobs.end());
+}
+
+void PoolScheduler::OnRemovalFailed(std::span<const JobId> jobs) {
+  m_expired_jobs.insert(jobs.begin(), jobs.end());
+}
+
 void PoolScheduler::OnCommitFailed(const CommitBatch& batch) {
   for (const auto& [id, progress] : batch.progress) m_dirty_jobs.insert(id);
   for (const LinkRecord& link : batch.links) m_dirty_links.insert(link.executor);
--- a/src/decisions/scheduling/internal/job.cc
+++ b/src/decisions/scheduling/internal/job.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr char kDoneMark = 'D';
-constexpr int kMaxCountedFailures = 9;  // One digit in the durable record.
+constexpr char kOpenMark = '-';
 
 }  // namespace
 
@@ -98,13 +98,18 @@
   }
 }
 
-bool Job::MarkFailed(const TaskId& id, int max_attempts) {
+bool Job::MarkFailed(const TaskId& id, int64_t run, int max_attempts) {
   if (!FindTask(id) || is_final()) return false;
   MarkBegun();
   if (spec(id.step).lasting) return false;
   Task& counted = AttemptsOf(id);
-  counted.failures = std::min(counted.failures + 1, kMaxCountedFailures);
-  if (counted.failures < max_attempts) return false;
+  // Ends of several runs may be seen in any order, after a takeover or a partition.
+  if (std::find(counted.failed_runs.begin(), counted.failed_runs.end(), run) !=
+      counted.failed_runs.end()) {
+    return false;
+  }
+  counted.failed_runs.push_back(run);
+  if (counted.failed_runs.size() < static_cast<size_t>(max_attempts)) return false;
   m_state = JobState::kFailed;
   return true;
 }
@@ -123,8 +128,15 @@
       const std::vector<Task>& tasks = occurrence.steps[step].tasks;
       for (size_t index = 0; index < tasks.size(); ++index) {
         const Task& task = tasks[index];
-        marks += task.done ? kDoneMark : static_cast<char>('0' + task.failures);
-        if (task.done || task.checkpoint.empty()) continue;
+        marks += task.done ? kDoneMark : kOpenMark;
+        if (task.done) continue;
+        for (const int64_t run : task.failed_runs) {
+          progress.failed_runs.push_back({.occurrence = number,
+                                          .step = static_cast<int>(step),
+                                          .index = static_cast<int>(index),
+                                          .run = run});
+        }
+        if (task.checkpoint.empty()) continue;
         progress.checkpoints.push_back({.occurrence = number,
                                         .step = static_cast<int>(step),
                                         .index = static_cast<int>(index),
@@ -160,13 +172,7 @@
                         .occurrence = record.number,
                         .step = static_cast<int>(step),
                         .index = static_cast<int>(index)};
-        Task* task = FindTask(id);
-        if (!task) continue;
-        if (marks[index] == kDoneMark) {
-          MarkDone(id);
-        } else {
-          task->failures = marks[index] - '0';
-        }
+        if (marks[index] == kDoneMark) MarkDone(id);
       }
     }
   }
@@ -177,6 +183,13 @@
                     .index = checkpoint.index};
     if (Task* task = FindTask(id)) task->checkpoint = checkpoint.value;
   }
+  for (const JobProgress::FailedRun& failed : progress.failed_runs) {
+    const TaskId id{.job = m_definition->id,
+                    .occurrence = failed.occurrence,
+                    .step = failed.step,
+                    .index = failed.index};
+    if (Task* task = FindTask(id)) task->failed_runs.push_back(failed.run);
+  }
   m_state = progress.state;
 }
 
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -217,7 +217,7 @@
     m_jobs.erase(id);
     m_dirty_jobs.erase(id);
     std::erase_if(m_given_up_runs, [&](const auto& run) { return run.first.job == id; });
-    m_forgotten_jobs.insert(id);
+    m_expired_jobs.insert(id);
   }
 }
 
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -135,7 +135,7 @@
   const int max_attempts = queue == m_queues.end() ? 1 : queue->second.max_attempts;
   Note("task_failed", ended.task, ended.run, executor.info.id);
   MarkDirty(job);
-  if (job.MarkFailed(ended.task, max_attempts)) {
+  if (job.MarkFailed(ended.task, ended.run, max_attempts)) {
     Note("job_failed", ended.task, ended.run, executor.info.id, "no attempts left");
     Finish(job, now);
   }
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -39,7 +39,7 @@
 
 struct Task {
   bool done = false;
-  int failures = 0;
+  std::vector<int64_t> failed_runs;  ///< Each counts as an attempt.
   std::string checkpoint;
   std::vector<Run> runs;
   ExecutorId avoided;  ///< Where it failed last.
@@ -109,9 +109,10 @@
 
   /// Marks a task done, a gang as a whole, and the job completed after its last task.
   void MarkDone(const TaskId& id);
-  /// Counts a failed attempt.
+  /// Counts a failed attempt, unless this run is counted already: an executor lists an end until
+  /// the owner's record of it is durable, which may be later than the job's progress.
   /// @return whether the job has failed by it.
-  bool MarkFailed(const TaskId& id, int max_attempts);
+  bool MarkFailed(const TaskId& id, int64_t run, int max_attempts);
   void MarkCancelled();
   /// Notes that a task has been started.
   void MarkBegun();
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -50,7 +50,7 @@
   std::vector<LinkRecord> links;
   std::vector<ExecutorId> removed_links;
   std::vector<QueueSummary> queues;
-  std::vector<JobId> forgotten_jobs;  ///< Final long enough; all their rows go.
+  std::vector<JobId> forgotten_jobs;  ///< Their definitions are gone, so their progress goes too.
 
   bool empty() const {
     return progress.empty() && links.empty() && removed_links.empty() && queues.empty() &&
@@ -123,6 +123,13 @@
   /// Makes what a failed commit held dirty again.
   void OnCommitFailed(const CommitBatch& batch);
   bool has_dirty() const;
+  /// @return jobs that were final for long enough, so that their definitions can be removed; each
+  ///   is returned once.
+  std::vector<JobId> TakeExpiredJobs();
+  /// Notes what became of the definitions of expired jobs. Their progress follows only when the
+  /// definitions are gone, since a definition without progress is a new job.
+  void OnDefinitionsRemoved(std::span<const JobId> jobs);
+  void OnRemovalFailed(std::span<const JobId> jobs);
 
   const std::map<ExecutorId, ExecutorState>& executors() const { return m_executors; }
   ExecutorState* FindExecutor(const ExecutorId& id);
@@ -226,6 +233,7 @@
   std::set<ExecutorId> m_removed_links;
   std::map<QueueName, int64_t> m_published_pending;
   std::deque<std::pair<TimePoint, JobId>> m_final_jobs;  // In the order in which they ended.
+  std::set<JobId> m_expired_jobs;
   std::set<JobId> m_forgotten_jobs;
   std::vector<SchedulerNote> m_notes;
   bool m_plan_needed = true;
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -271,7 +271,12 @@
 
   void Commit() {
     if (store_away) return;
-    const CommitBatch batch = m_scheduler->TakeCommit(98);
+    CommitBatch batch = m_scheduler->TakeCommit(98);
+    if (links_wait) {
+      CommitBatch later;
+      later.links = std::exchange(batch.links, {});
+      m_scheduler->OnCommitFailed(later);
+    }
     for (const auto& [id, progress] : batch.progress) m_store.progress[id] = progress;
     for (const LinkRecord& link : batch.links) m_store.links[link.executor] = link;
     for (const ExecutorId& id : batch.removed_links) m_store.links.erase(id);
@@ -318,6 +323,7 @@
 
   bool owner_paused = false;
   bool store_away = false;
+  bool links_wait = false;  ///< Rows of links do not fit into the commits.
   bool repeat_starts = false;
   int64_t unix_ms = 0;
   std::set<ExecutorId> unlisted;
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -332,6 +332,58 @@
   EXPECT_EQ(pool.CopiesOf({.job = JobId("lasting")}), 1);
 }
 
+// Guards against an end that a successor counts again, since the progress of its job was durable
+// before the record of the end was: the job failed one attempt early.
+TEST(PoolSchedulerTest, FailureIsCountedOnceIfOnlyTheProgressIsDurable) {
+  FakePool pool(2);
+  pool.Submit(MakeJob("long", {MakeStep(1, 1000, 10s)}));
+  pool.Run(200ms);
+  pool.links_wait = true;
+  pool.executor("x0").fails_everything = true;
+  pool.executor("x1").fails_everything = true;
+  pool.Submit(MakeJob("a", {MakeStep(1, 1000, 300ms)}));
+  const TaskId task{.job = JobId("a")};
+  while (pool.starts[task] < 2) pool.Step();
+  pool.executor("x0").fails_everything = false;
+  pool.executor("x1").fails_everything = false;
+  while (pool.starts[task] < 3) pool.Step();
+  // Two attempts have failed, and all that the executors listed is listed to the successor.
+  pool.TakeOver();
+  pool.links_wait = false;
+  ASSERT_TRUE(pool.RunUntilFinal(JobId("a"), 10s));
+  EXPECT_EQ(pool.State(JobId("a")), JobState::kCompleted) << "a failure was counted twice";
+}
+
+// Guards against failures that are not counted because a later run's end was seen first, as happens
+// after a takeover: the task was started again after its last attempt.
+TEST(PoolSchedulerTest, FailuresCountInAnyOrderAndOnce) {
+  Job job(std::make_shared<const JobDefinition>(MakeJob("a", {MakeStep(1, 1000, 1s)})), {}, false);
+  const TaskId task{.job = JobId("a")};
+  EXPECT_FALSE(job.MarkFailed(task, 7, 3));
+  EXPECT_FALSE(job.MarkFailed(task, 5, 3));
+  EXPECT_FALSE(job.MarkFailed(task, 7, 3));
+  Job successor(job.definition(), {}, true);
+  successor.Restore(job.Progress());
+  EXPECT_FALSE(successor.MarkFailed(task, 5, 3));
+  EXPECT_TRUE(successor.MarkFailed(task, 6, 3));
+}
+
+// Guards against a definition that outlives its progress: a successor would run the job again.
+TEST(PoolSchedulerTest, DefinitionIsRemovedBeforeItsProgress) {
+  FakePool pool(1);
+  pool.Submit(MakeJob("a", {MakeStep(1, 1000, 100ms)}));
+  ASSERT_TRUE(pool.RunUntilFinal(JobId("a"), 2s));
+  EXPECT_TRUE(pool.scheduler().TakeExpiredJobs().empty());
+  pool.scheduler().Advance(pool.now() + 200s, 0);
+  const std::vector<JobId> expired = pool.scheduler().TakeExpiredJobs();
+  ASSERT_EQ(expired, std::vector{JobId("a")});
+  EXPECT_TRUE(pool.scheduler().TakeCommit(98).forgotten_jobs.empty());
+  pool.scheduler().OnRemovalFailed(expired);
+  EXPECT_EQ(pool.scheduler().TakeExpiredJobs(), expired);
+  pool.scheduler().OnDefinitionsRemoved(expired);
+  EXPECT_EQ(pool.scheduler().TakeCommit(98).forgotten_jobs, expired);
+}
+
 // Guards against occurrences that start before they are due, or are forgotten by a successor.
 TEST(PoolSchedulerTest, OccurrencesRunWhenTheyAreDue) {
   FakePool pool(1);
--- a/src/decisions/scheduling/types.h
+++ b/src/decisions/scheduling/types.h
@@ -89,7 +89,7 @@
 
 /// What of a job is durable beside its definition.
 struct JobProgress {
-  /// One character for each task: 'D' when it is done, else its failed attempts as '0' to '9'.
+  /// One character for each task: 'D' when it is done, else '-'.
   struct Occurrence {
     int number = 0;
     std::vector<std::string> steps;
@@ -101,10 +101,19 @@
     std::string value;
   };
 
+  /// A run whose failure is counted, so that no owner counts it again.
+  struct FailedRun {
+    int occurrence = 0;
+    int step = 0;
+    int index = 0;
+    int64_t run = 0;
+  };
+
   JobState state = JobState::kQueued;
   int finished_occurrences = 0;
   std::vector<Occurrence> occurrences;  ///< Those that have begun and are not finished.
   std::vector<Checkpoint> checkpoints;
+  std::vector<FailedRun> failed_runs;
 };
 
 /// Rules of a queue, from the configuration in force.
--- a/src/fleet/entry/internal/job_gate.cc
+++ b/src/fleet/entry/internal/job_gate.cc
@@ -30,16 +30,17 @@
   submission->key = JobKey(pool, definition.id);
   submission->value = EncodeJob(definition);
   submission->deadline = deadline - kAnswerMargin;
-  Queue& queue = m_queues[pool];
+  const std::string partition = submission->key.partition;
+  Queue& queue = m_queues[partition];
   queue.waiting.push_back(submission);
   if (!std::exchange(queue.flushing, true)) {
-    m_tasks.Spawn([this, pool]() -> QCoro::Task<void> { return Flush(pool); });
+    m_tasks.Spawn([this, partition]() -> QCoro::Task<void> { return Flush(partition); });
   }
   co_return co_await submission->answer.Wait();
 }
 
-QCoro::Task<void> JobGate::Flush(PoolName pool) {
-  Queue& queue = m_queues[pool];
+QCoro::Task<void> JobGate::Flush(std::string partition) {
+  Queue& queue = m_queues[partition];
   while (!queue.waiting.empty()) {
     Submissions batch;
     while (!queue.waiting.empty() && batch.size() < kMaxBatch) {
--- a/src/fleet/entry/job_gate.h
+++ b/src/fleet/entry/job_gate.h
@@ -52,14 +52,14 @@
     bool flushing = false;
   };
 
-  QCoro::Task<void> Flush(PoolName pool);
+  QCoro::Task<void> Flush(std::string partition);
   /// Carries out one transaction, repeating it while its outcome is unknown.
   QCoro::Task<void> Write(Submissions batch);
   static void AcceptPresent(std::span<const Row> rows, Submissions& batch);
   static void ExpireLate(TimePoint now, Submissions& batch);
 
   FleetContext& m_context;
-  std::map<PoolName, Queue> m_queues;
+  std::map<std::string, Queue> m_queues;  // By partition, which a transaction can not cross.
   TaskScope m_tasks;
 };
 
--- a/src/fleet/interfaces/internal/row_store.cc
+++ b/src/fleet/interfaces/internal/row_store.cc
@@ -21,4 +21,17 @@
   co_return whole;
 }
 
+QCoro::Task<RetVal<RowRange>> ReadPartitions(RowStore& store, std::string table,
+                                             std::vector<std::string> partitions) {
+  RowRange whole;
+  bool first = true;
+  for (const std::string& partition : partitions) {
+    auto range = co_await ReadPartition(store, table, partition);
+    if (!range.ok()) co_return range.ret();
+    if (std::exchange(first, false)) whole.version = range->version;
+    std::move(range->rows.begin(), range->rows.end(), std::back_inserter(whole.rows));
+  }
+  co_return whole;
+}
+
 }  // namespace citronferry::fleet
--- a/src/fleet/interfaces/row_store.h
+++ b/src/fleet/interfaces/row_store.h
@@ -96,6 +96,10 @@
 QCoro::Task<RetVal<RowRange>> ReadPartition(RowStore& store, std::string table,
                                             std::string partition);
 
+/// Reads several partitions of a table one after the other, as ReadPartition does.
+QCoro::Task<RetVal<RowRange>> ReadPartitions(RowStore& store, std::string table,
+                                             std::vector<std::string> partitions);
+
 }  // namespace citronferry::fleet
 
 #endif  // CITRONFERRY_FLEET_INTERFACES_ROW_STORE_H_
--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "base/rendezvous.h"
 #include "json/reader.h"
 
 namespace citronferry::fleet {
@@ -17,6 +18,17 @@
 
 constexpr std::string_view kCancelSuffix = ".cancel";
 
+// At the target a surge brings 190 jobs a second to a pool, which the entries write one by one.
+constexpr uint64_t kJobPartitions = 4;
+
+std::string JobPartition(const PoolName& pool, uint64_t number) {
+  return pool.str() + "/jobs-" + std::to_string(number);
+}
+
+std::string PartitionOf(const PoolName& pool, const JobId& job) {
+  return JobPartition(pool, RendezvousWeight(pool.view(), job.view()) % kJobPartitions);
+}
+
 // Bits of a step's properties.
 constexpr int64_t kGang = 1;
 constexpr int64_t kSameRack = 2;
@@ -82,6 +94,12 @@
 
 std::string JobsTable(const PoolName& pool) { return "jobs-" + pool.str(); }
 
+std::vector<std::string> JobPartitions(const PoolName& pool) {
+  std::vector<std::string> partitions;
+  for (uint64_t i = 0; i < kJobPartitions; ++i) partitions.push_back(JobPartition(pool, i));
+  return partitions;
+}
+
 RowKey OwnerKey(const PoolName& pool) {
   return {.table = kOwnersTable, .partition = pool.str(), .key = "owner"};
 }
@@ -89,11 +107,11 @@
   return {.table = kLinksTable, .partition = pool.str(), .key = executor.str()};
 }
 RowKey JobKey(const PoolName& pool, const JobId& job) {
-  return {.table = JobsTable(pool), .partition = pool.str(), .key = job.str()};
+  return {.table = JobsTable(pool), .partition = PartitionOf(pool, job), .key = job.str()};
 }
 RowKey CancelKey(const PoolName& pool, const JobId& job) {
   return {.table = JobsTable(pool),
-          .partition = pool.str(),
+          .partition = PartitionOf(pool, job),
           .key = job.str() + std::string(kCancelSuffix)};
 }
 RowKey ProgressKey(const PoolName& pool, const JobId& job) {
@@ -182,6 +200,11 @@
         bj::array{checkpoint.occurrence, checkpoint.step, checkpoint.index, checkpoint.value});
   }
   if (!checkpoints.empty()) encoded["checkpoints"] = std::move(checkpoints);
+  bj::array failed_runs;
+  for (const JobProgress::FailedRun& failed : progress.failed_runs) {
+    failed_runs.push_back(bj::array{failed.occurrence, failed.step, failed.index, failed.run});
+  }
+  if (!failed_runs.empty()) encoded["failed"] = std::move(failed_runs);
   return bj::serialize(encoded);
 }
 
@@ -218,6 +241,17 @@
                                       .value = std::string(json::AsText((*row)[3]))});
     }
   }
+  if (const bj::array* failed_runs = reader.Array("failed")) {
+    for (const bj::value& item : *failed_runs) {
+      const bj::array* row = item.if_array();
+      if (!row || row->size() != 4) continue;
+      const auto number = [row](size_t i) { return json::AsInteger((*row)[i]).value_or(0); };
+      progress.failed_runs.push_back({.occurrence = static_cast<int>(number(0)),
+                                      .step = static_cast<int>(number(1)),
+                                      .index = static_cast<int>(number(2)),
+                                      .run = number(3)});
+    }
+  }
   if (!reader.ok()) return reader.ret();
   return progress;
 }
--- a/src/fleet/pool/internal/commit_log.cc
+++ b/src/fleet/pool/internal/commit_log.cc
@@ -55,8 +55,6 @@
     transaction.removals.push_back(LinkKey(m_pool, executor));
   }
   for (const auto& job : batch.forgotten_jobs) {
-    transaction.removals.push_back(JobKey(m_pool, job));
-    transaction.removals.push_back(CancelKey(m_pool, job));
     transaction.removals.push_back(ProgressKey(m_pool, job));
   }
   return transaction;
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -35,6 +35,9 @@
 // Clocks of entries differ; an inherited job is never taken for older than this.
 constexpr Duration kMaxInheritedAge = 60s;
 constexpr Duration kStopDeadline = 2s;
+// Jobs are kept for two minutes; some seconds more cost nothing.
+constexpr Duration kRemovalInterval = 2s;
+constexpr Duration kRemovalTimeout = 1s;
 // The executors' clocks may be this much slow, so a lease lasts longer than it says.
 constexpr double kSlowClock = 0.98;
 constexpr Duration kLeaseMargin = 200ms;
@@ -91,6 +94,7 @@
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return FollowJobs(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return Tick(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return AskAdviser(); });
+  m_tasks.Spawn([this]() -> QCoro::Task<void> { return RemoveExpiredJobs(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_duties->Run(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_mover->Run(); });
   Subscription stopping = stop.Subscribe([this] { End(MakeOk()); });
@@ -116,7 +120,7 @@
   if (!links.ok()) co_return links.ret();
   const auto progress = co_await ReadPartition(rows, kProgressTable, m_pool.str());
   if (!progress.ok()) co_return progress.ret();
-  const auto jobs = co_await ReadPartition(rows, JobsTable(m_pool), m_pool.str());
+  const auto jobs = co_await ReadPartitions(rows, JobsTable(m_pool), JobPartitions(m_pool));
   if (!jobs.ok()) co_return jobs.ret();
   for (const Row& row : links->rows) {
     const auto link = DecodeLink(scheduling::ExecutorId(row.key.key), row.value);
@@ -153,6 +157,10 @@
     if (const auto job = CancelledJob(row.key.key)) m_scheduler->CancelJob(*job, now);
   }
   m_jobs_version = jobs->version;
+  // A previous owner removed these definitions, but not yet the progress.
+  for (const auto& [id, state] : states) {
+    if (!m_scheduler->HoldsJob(id)) m_scheduler->OnDefinitionsRemoved(std::span(&id, 1));
+  }
   Log(LogLevel::kInfo, "pool_loaded",
       {{"pool", m_pool.view()},
        {"epoch", m_ownership.epoch},
@@ -170,7 +178,7 @@
     std::vector<Row> changed;
     Ret ret;
     if (whole) {
-      auto range = co_await ReadPartition(rows, JobsTable(m_pool), m_pool.str());
+      auto range = co_await ReadPartitions(rows, JobsTable(m_pool), JobPartitions(m_pool));
       ret = range.ret();
       if (range.ok()) {
         changed = std::move(range->rows);
@@ -316,6 +324,37 @@
   }
 }
 
+QCoro::Task<void> PoolOwner::RemoveExpiredJobs() {
+  while (!m_ended.requested()) {
+    co_await SleepFor(m_context.timers, kRemovalInterval, &m_ended);
+    std::map<std::string, std::vector<JobId>> by_partition;
+    for (JobId& job : m_scheduler->TakeExpiredJobs()) {
+      by_partition[JobKey(m_pool, job).partition].push_back(std::move(job));
+    }
+    for (auto& [partition, jobs] : by_partition) {
+      if (m_ended.requested()) co_return;
+      // What is too much for one transaction waits for the next round.
+      const size_t count = std::min(jobs.size(), kMaxTransactionEntries / 2);
+      m_scheduler->OnRemovalFailed(std::span(jobs).subspan(count));
+      jobs.resize(count);
+      Transaction transaction;
+      for (const JobId& job : jobs) {
+        transaction.removals.push_back(JobKey(m_pool, job));
+        transaction.removals.push_back(CancelKey(m_pool, job));
+      }
+      const TransactionResult result =
+          co_await m_context.backends.rows.Transact(std::move(transaction), kRemovalTimeout);
+      if (result.outcome == TransactionOutcome::kApplied) {
+        m_scheduler->OnDefinitionsRemoved(jobs);
+      } else {
+        m_scheduler->OnRemovalFailed(jobs);
+        Log(LogLevel::kWarning, "removal_failed",
+            {{"pool", m_pool.view()}, {"jobs", jobs.size()}, {"error", result.error}});
+      }
+    }
+  }
+}
+
 template <typename Order>
 void PoolOwner::Send(std::vector<Order>& orders) {
   for (Order& order : orders) {
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -66,6 +66,8 @@
   QCoro::Task<void> FollowJobs();
   QCoro::Task<void> Tick();
   QCoro::Task<void> AskAdviser();
+  /// Removes the definitions of jobs that ended long ago.
+  QCoro::Task<void> RemoveExpiredJobs();
   void ApplyRows(std::span<const Row> rows);
   /// @return the definition in a row, or nothing, with a log line, if it can not be read.
   std::shared_ptr<const scheduling::JobDefinition> ReadDefinition(const Row& row) const;
--- a/src/fleet/tables.h
+++ b/src/fleet/tables.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/ret.h"
 #include "decisions/scheduling/move_planner.h"
@@ -13,7 +14,9 @@
 
 namespace citronferry::fleet {
 
-// Rows of a pool are in the partition of its name, so that one transaction can hold all of them.
+// Rows that a pool's owner writes are in the partition of the pool's name, so that one transaction
+// can hold all of them. Jobs are in other partitions: a partition takes 200 transactions a second,
+// and the submissions of a surge must not keep the owner from renewing its ownership.
 
 RowKey OwnerKey(const PoolName& pool);
 RowKey LinkKey(const PoolName& pool, const scheduling::ExecutorId& executor);
@@ -32,6 +35,8 @@
 /// @return the table of a pool's definitions and cancellations. Each pool has its own, since a feed
 ///   covers a whole table.
 std::string JobsTable(const PoolName& pool);
+/// @return the partitions over which a pool's jobs are spread by their ids.
+std::vector<std::string> JobPartitions(const PoolName& pool);
 /// @return the job that a cancellation's key names, or nothing if the key is that of a definition.
 std::optional<JobId> CancelledJob(std::string_view key);
 
--- a/src/fleet/testing/fake_row_store.h
+++ b/src/fleet/testing/fake_row_store.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -64,6 +65,13 @@
     if (entries > kMaxTransactionEntries) {
       return {.outcome = TransactionOutcome::kInvalid, .error = "too many entries"};
     }
+    std::set<std::string> partitions;
+    for (const auto& condition : transaction.conditions) partitions.insert(condition.key.partition);
+    for (const auto& put : transaction.puts) partitions.insert(put.key.partition);
+    for (const RowKey& key : transaction.removals) partitions.insert(key.partition);
+    if (partitions.size() > 1) {
+      return {.outcome = TransactionOutcome::kInvalid, .error = "several partitions"};
+    }
     TransactionResult result{.outcome = TransactionOutcome::kApplied};
     for (const auto& condition : transaction.conditions) {
       const auto found = m_rows.find(condition.key);
--- a/src/fleet/tests/job_gate_test.cc
+++ b/src/fleet/tests/job_gate_test.cc
@@ -1,5 +1,8 @@
 #include "fleet/entry/job_gate.h"
 
+#include <algorithm>
+#include <map>
+
 #include "fleet/tables.h"
 #include "fleet/tests/fleet_fixture.h"
 
@@ -54,6 +57,25 @@
   EXPECT_FALSE(m_rows.Has(JobKey(m_pool, JobId("a"))));
 }
 
+// Guards against submissions that keep the owner of the pool from its renewals. Load pattern: a
+// surge brings 190 jobs a second to a pool, and a partition takes 200 transactions a second.
+TEST_F(JobGateTest, SubmissionsOfASurgeLeaveTheOwnersPartitionAlone) {
+  constexpr int kJobs = 190;
+  constexpr int kMostInOnePartition = 100;  // Half of what it takes in a second.
+  std::map<std::string, int> in_partition;
+  for (int i = 0; i < kJobs; ++i) {
+    const JobId job("job-" + std::to_string(i));
+    ++in_partition[JobKey(m_pool, job).partition];
+    EXPECT_EQ(CancelKey(m_pool, job).partition, JobKey(m_pool, job).partition);
+  }
+  EXPECT_FALSE(in_partition.contains(OwnerKey(m_pool).partition));
+  const std::vector<std::string> known = JobPartitions(m_pool);
+  for (const auto& [partition, count] : in_partition) {
+    EXPECT_LE(count, kMostInOnePartition);
+    EXPECT_TRUE(std::find(known.begin(), known.end(), partition) != known.end());
+  }
+}
+
 // Guards against transactions that the store rejects for their size, and jobs lost in a batch.
 TEST_F(JobGateTest, ManyJobsAtOnceFitIntoTransactions) {
   constexpr int kJobs = 130;
--- a/src/fleet/tests/ownership_test.cc
+++ b/src/fleet/tests/ownership_test.cc
@@ -157,12 +157,14 @@
   EXPECT_TRUE(decoded->steps[1].uses_leftover_cpu);
   const scheduling::JobProgress progress{.state = scheduling::JobState::kRunning,
                                          .finished_occurrences = 2,
-                                         .occurrences = {{.number = 3, .steps = {"D0", "2"}}},
-                                         .checkpoints = {{3, 1, 0, "saved"}}};
+                                         .occurrences = {{.number = 3, .steps = {"D-", "-"}}},
+                                         .checkpoints = {{3, 1, 0, "saved"}},
+                                         .failed_runs = {{3, 0, 2, 16052}}};
   const auto read = DecodeProgress(EncodeProgress(progress));
   ASSERT_TRUE(read.ok());
   EXPECT_EQ(EncodeProgress(read.value()), EncodeProgress(progress));
   EXPECT_EQ(read->checkpoints.front().value, "saved");
+  EXPECT_EQ(read->failed_runs.front().run, 16052);
   EXPECT_FALSE(DecodeProgress("{\"state\":17}").ok());
 }
 
