Follow the store's feeds in one way

Cause: four loops read a table as a whole and followed it, with four ways of waiting and of answering a lost history; three of them said nothing when the store was lost. Feed<Changes> does it for the operator's rows, the registry, the pools' needs and a pool's jobs, with growing delays and store_lost, store_regained and feed_history_lost in the log. The registry is read faster while instances move, since an executor that has arrived is of no use until it is seen.

--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -90,6 +90,16 @@
   return step;
 }
 
+QCoro::Task<RetVal<RowChanges>> ReadAsChanges(RowStore& rows, std::string table,
+                                              std::vector<std::string> partitions) {
+  auto range = co_await ReadPartitions(rows, std::move(table), std::move(partitions));
+  if (!range.ok()) co_return range.ret();
+  RowChanges changes;
+  changes.changed = std::move(range->rows);
+  changes.version = range->version;
+  co_return changes;
+}
+
 }  // namespace
 
 std::string JobsTable(const PoolName& pool) { return "jobs-" + pool.str(); }
@@ -100,6 +110,12 @@
   return partitions;
 }
 
+Feed<RowChanges> MakeTableFeed(RowStore& rows, std::string table,
+                               std::vector<std::string> partitions, Duration wait) {
+  return {table, [&rows, table, partitions] { return ReadAsChanges(rows, table, partitions); },
+          [&rows, table, wait](int64_t after) { return rows.Follow(table, after, wait); }};
+}
+
 RowKey OwnerKey(const PoolName& pool) {
   return {.table = kOwnersTable, .partition = pool.str(), .key = "owner"};
 }
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -45,7 +45,12 @@
 }  // namespace
 
 PoolOwner::PoolOwner(FleetContext& context, PoolName pool, Ownership ownership)
-    : m_context(context), m_pool(std::move(pool)), m_ownership(ownership), m_directory(context) {
+    : m_context(context),
+      m_pool(std::move(pool)),
+      m_ownership(ownership),
+      m_directory(context),
+      m_jobs(MakeTableFeed(context.backends.rows, JobsTable(m_pool), JobPartitions(m_pool),
+                           kFollowWait)) {
   const Duration bound =
       FromSeconds(ToSeconds(context.options.executor_lease) / kSlowClock) + kLeaseMargin;
   m_scheduler = std::make_unique<PoolScheduler>(
@@ -156,7 +161,7 @@
   for (const Row& row : jobs->rows) {
     if (const auto job = CancelledJob(row.key.key)) m_scheduler->CancelJob(*job, now);
   }
-  m_jobs_version = jobs->version;
+  m_jobs.StartAt(jobs->version);
   // A previous owner removed these definitions, but not yet the progress.
   for (const auto& [id, state] : states) {
     if (!m_scheduler->HoldsJob(id)) m_scheduler->OnDefinitionsRemoved(std::span(&id, 1));
@@ -171,36 +176,14 @@
 }
 
 QCoro::Task<void> PoolOwner::FollowJobs() {
-  RowStore& rows = m_context.backends.rows;
-  Backoff backoff(kFirstRetry, kLongestRetry);
-  bool whole = false;
   while (!m_ended.requested()) {
-    std::vector<Row> changed;
-    Ret ret;
-    if (whole) {
-      auto range = co_await ReadPartitions(rows, JobsTable(m_pool), JobPartitions(m_pool));
-      ret = range.ret();
-      if (range.ok()) {
-        changed = std::move(range->rows);
-        m_jobs_version = range->version;
-      }
-    } else {
-      auto changes = co_await rows.Follow(JobsTable(m_pool), m_jobs_version, kFollowWait);
-      ret = changes.ret();
-      if (changes.ok()) {
-        changed = std::move(changes->changed);
-        m_jobs_version = changes->version;
-      }
-    }
+    const auto changes = co_await m_jobs.Next();
     if (m_ended.requested()) co_return;
-    whole = ret.code() == ErrorCode::kNotFound;
-    if (!ret.ok()) {
-      if (whole) Log(LogLevel::kWarning, "feed_history_lost", {{"pool", m_pool.view()}});
-      co_await SleepFor(m_context.timers, backoff.Next(), &m_ended);
+    if (!changes.ok()) {
+      co_await SleepFor(m_context.timers, m_jobs.retry_delay(), &m_ended);
       continue;
     }
-    backoff.Reset();
-    ApplyRows(changed);
+    ApplyRows(changes->changed);
     Pump();
     co_await SleepFor(m_context.timers, kFollowPause, &m_ended);
   }
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "decisions/scheduling/pool_scheduler.h"
+#include "fleet/feed.h"
 #include "fleet/fleet_context.h"
 #include "fleet/pool/internal/commit_log.h"
 #include "fleet/pool/internal/instance_directory.h"
@@ -91,7 +92,7 @@
   std::unique_ptr<InstanceDuties> m_duties;
   std::unique_ptr<InstanceMover> m_mover;
   std::set<scheduling::ExecutorId> m_listed;
-  int64_t m_jobs_version = 0;
+  Feed<RowChanges> m_jobs;
   Mailbox<scheduling::TicketRequest> m_ticket_requests;
   TimePoint m_planned_at{};
   Subscription m_next_plan;
--- a/src/fleet/tables.h
+++ b/src/fleet/tables.h
@@ -10,6 +10,7 @@
 #include "decisions/scheduling/move_planner.h"
 #include "decisions/scheduling/pool_scheduler.h"
 #include "decisions/scheduling/types.h"
+#include "fleet/feed.h"
 #include "fleet/interfaces/row_store.h"
 
 namespace citronferry::fleet {
@@ -40,6 +41,12 @@
 /// @return the job that a cancellation's key names, or nothing if the key is that of a definition.
 std::optional<JobId> CancelledJob(std::string_view key);
 
+/// Makes the feed of a table.
+/// @param partitions those that are read as a whole; changes of any partition are followed.
+/// @param wait longest time to wait for a change.
+Feed<RowChanges> MakeTableFeed(RowStore& rows, std::string table,
+                               std::vector<std::string> partitions, Duration wait);
+
 /// Content of a row of `owners`.
 struct OwnerRecord {
   std::string holder;  ///< Empty when the pool was given up.
--- a/src/fleet/testing/fake_row_store.h
+++ b/src/fleet/testing/fake_row_store.h
@@ -51,6 +51,7 @@
 
   QCoro::Task<RetVal<RowChanges>> Follow(std::string table, int64_t after, Duration) override {
     if (away) co_return Ret(ErrorCode::kUnavailable, "away");
+    if (history_lost) co_return Ret(ErrorCode::kNotFound, "history lost");
     RowChanges changes{.version = m_version};
     for (const auto& [key, row] : m_rows) {
       if (key.table == table && row.version > after) changes.changed.push_back(row);
@@ -94,7 +95,8 @@
   static constexpr Duration kAnswerTime = 4ms;
   TimerService* timers = nullptr;  ///< If set, transactions take kAnswerTime.
   bool away = false;
-  std::deque<Fault> faults;  ///< Of the next transactions.
+  bool history_lost = false;  ///< Following is refused.
+  std::deque<Fault> faults;   ///< Of the next transactions.
   int transactions = 0;
   size_t largest_transaction = 0;
 
--- a/src/fleet/watch/internal/demand_watcher.cc
+++ b/src/fleet/watch/internal/demand_watcher.cc
@@ -1,4 +1,4 @@
-#include "fleet/backoff.h"
+#include "fleet/feed.h"
 #include "fleet/tables.h"
 #include "fleet/watch/watchers.h"
 #include "telemetry/log.h"
@@ -8,42 +8,22 @@
 
 // A surge lasts some seconds, so a pool's need has to be known to the others well within one.
 constexpr Duration kPollInterval = 120ms;
-constexpr Duration kLongestRetry = 1s;
 
 class DemandWatcher : public Service {
  public:
   explicit DemandWatcher(FleetContext& context) : m_context(context) {}
 
   QCoro::Task<Ret> Run() override {
-    RowStore& rows = m_context.backends.rows;
-    Backoff backoff(kPollInterval, kLongestRetry);
-    bool whole = true;
-    int64_t version = 0;
     while (!m_stop.requested()) {
       if (m_context.owned_pools == 0) {
-        whole = true;
+        m_feed.Restart();
         co_await SleepFor(m_context.timers, kPollInterval, &m_stop);
         continue;
       }
-      Ret ret;
-      if (whole) {
-        const auto range = co_await ReadPartition(rows, kDemandTable, kDemandTable);
-        ret = range.ret();
-        if (range.ok()) {
-          version = range->version;
-          Apply(range->rows);
-        }
-      } else {
-        const auto changes = co_await rows.Follow(kDemandTable, version, Duration::zero());
-        ret = changes.ret();
-        if (changes.ok()) {
-          version = changes->version;
-          Apply(changes->changed);
-        }
-      }
-      whole = ret.code() == ErrorCode::kNotFound || (whole && !ret.ok());
-      if (ret.ok()) backoff.Reset();
-      co_await SleepFor(m_context.timers, ret.ok() ? kPollInterval : backoff.Next(), &m_stop);
+      const auto changes = co_await m_feed.Next();
+      if (changes.ok()) Apply(changes->changed);
+      const Duration pause = changes.ok() ? kPollInterval : m_feed.retry_delay();
+      co_await SleepFor(m_context.timers, pause, &m_stop);
     }
     co_return MakeOk();
   }
@@ -68,6 +48,8 @@
   }
 
   FleetContext& m_context;
+  Feed<RowChanges> m_feed =
+      MakeTableFeed(m_context.backends.rows, kDemandTable, {kDemandTable}, Duration::zero());
   StopSignal m_stop;
 };
 
--- a/src/fleet/watch/internal/operator_watcher.cc
+++ b/src/fleet/watch/internal/operator_watcher.cc
@@ -1,4 +1,4 @@
-#include "fleet/backoff.h"
+#include "fleet/feed.h"
 #include "fleet/watch/watchers.h"
 #include "telemetry/log.h"
 
@@ -8,33 +8,18 @@
 // A change is seen at once; the wait only bounds how long a silent connection goes unnoticed,
 // which has to be well below the two seconds in which a configuration must be in force.
 constexpr Duration kFollowWait = 700ms;
-constexpr Duration kFirstRetry = 50ms;
-constexpr Duration kLongestRetry = 500ms;
 
 class OperatorWatcher : public Service {
  public:
   explicit OperatorWatcher(FleetContext& context) : m_context(context) {}
 
   QCoro::Task<Ret> Run() override {
-    Backoff backoff(kFirstRetry, kLongestRetry);
-    bool whole = true;
-    bool lost = false;
-    int64_t version = 0;
     while (!m_stop.requested()) {
-      auto changes = co_await Next(whole, version);
+      auto changes = co_await m_feed.Next();
       if (!changes.ok()) {
-        if (!lost)
-          Log(LogLevel::kWarning, "store_lost",
-              {{"feed", "operator"}, {"error", changes.ret().message()}});
-        lost = true;
-        whole |= changes.code() == ErrorCode::kNotFound;
-        co_await SleepFor(m_context.timers, backoff.Next(), &m_stop);
+        co_await SleepFor(m_context.timers, m_feed.retry_delay(), &m_stop);
         continue;
       }
-      if (lost) Log(LogLevel::kInfo, "store_regained", {{"feed", "operator"}});
-      lost = whole = false;
-      backoff.Reset();
-      version = changes->version;
       m_context.store_answered_at = m_context.timers.Now();
       Apply(std::move(changes).value());
     }
@@ -44,12 +29,6 @@
   void Stop() override { m_stop.Request(); }
 
  private:
-  QCoro::Task<RetVal<OperatorChanges>> Next(bool whole, int64_t version) {
-    Announcements& announcements = m_context.backends.announcements;
-    if (whole) return announcements.ReadOperator();
-    return announcements.FollowOperator(version, kFollowWait);
-  }
-
   void Apply(OperatorChanges changes) {
     for (const UnreadableRow& row : changes.unreadable) {
       Log(LogLevel::kError, "announcement_unreadable", {{"key", row.key}, {"error", row.error}});
@@ -76,6 +55,11 @@
   }
 
   FleetContext& m_context;
+  Feed<OperatorChanges> m_feed{
+      "operator", [this] { return m_context.backends.announcements.ReadOperator(); },
+      [this](int64_t after) {
+        return m_context.backends.announcements.FollowOperator(after, kFollowWait);
+      }};
   StopSignal m_stop;
 };
 
--- a/src/fleet/watch/internal/registry_watcher.cc
+++ b/src/fleet/watch/internal/registry_watcher.cc
@@ -1,4 +1,6 @@
-#include "fleet/backoff.h"
+#include <algorithm>
+
+#include "fleet/feed.h"
 #include "fleet/watch/watchers.h"
 #include "telemetry/log.h"
 
@@ -8,35 +10,28 @@
 // Executors report every heartbeat, some tens of changes per second; asking for them together
 // costs less. An instance that has moved to a surging pool should be used soon.
 constexpr Duration kPollInterval = 250ms;
-constexpr Duration kLongestRetry = 1s;
+// While instances move, each tenth of a second until one is used is missing in a surge.
+constexpr Duration kPollIntervalDuringMoves = 80ms;
+// How soon an entry that has become an owner reads the registry.
+constexpr Duration kIdleLook = 25ms;
 
 class RegistryWatcher : public Service {
  public:
   explicit RegistryWatcher(FleetContext& context) : m_context(context) {}
 
   QCoro::Task<Ret> Run() override {
-    Backoff backoff(kPollInterval / 2, kLongestRetry);
-    bool whole = true;
-    int64_t version = 0;
     while (!m_stop.requested()) {
       if (m_context.owned_pools == 0) {
         // Only owners need it; what was read grows old meanwhile.
-        whole = true;
+        m_feed.Restart();
         if (!m_context.registry.Get().empty()) m_context.registry.Set({});
-        co_await SleepFor(m_context.timers, kPollInterval / 10, &m_stop);
-        continue;
-      }
-      auto changes = co_await Next(whole, version);
-      if (!changes.ok()) {
-        whole |= changes.code() == ErrorCode::kNotFound;
-        co_await SleepFor(m_context.timers, backoff.Next(), &m_stop);
+        co_await SleepFor(m_context.timers, kIdleLook, &m_stop);
         continue;
       }
-      backoff.Reset();
-      version = changes->version;
-      Apply(changes.value(), whole);
-      whole = false;
-      co_await SleepFor(m_context.timers, kPollInterval, &m_stop);
+      const auto changes = co_await m_feed.Next();
+      if (changes.ok()) Apply(changes.value(), m_feed.whole());
+      const Duration pause = changes.ok() ? PollInterval() : m_feed.retry_delay();
+      co_await SleepFor(m_context.timers, pause, &m_stop);
     }
     co_return MakeOk();
   }
@@ -44,10 +39,12 @@
   void Stop() override { m_stop.Request(); }
 
  private:
-  QCoro::Task<RetVal<RegistryChanges>> Next(bool whole, int64_t version) {
-    Announcements& announcements = m_context.backends.announcements;
-    if (whole) return announcements.ReadRegistry();
-    return announcements.FollowRegistry(version, Duration::zero());
+  Duration PollInterval() const {
+    const auto& demands = m_context.demands.Get();
+    const bool moving = std::any_of(demands.begin(), demands.end(), [](const auto& entry) {
+      return !entry.second.departing.empty();
+    });
+    return moving ? kPollIntervalDuringMoves : kPollInterval;
   }
 
   void Apply(const RegistryChanges& changes, bool whole) {
@@ -66,6 +63,11 @@
   }
 
   FleetContext& m_context;
+  Feed<RegistryChanges> m_feed{
+      "registry", [this] { return m_context.backends.announcements.ReadRegistry(); },
+      [this](int64_t after) {
+        return m_context.backends.announcements.FollowRegistry(after, Duration::zero());
+      }};
   StopSignal m_stop;
   std::string m_reported_unreadable;
 };
