--- a/src/decisions/scheduling/internal/move_planner.cc
+++ b/src/decisions/scheduling/internal/move_planner.cc
@@ -61,7 +61,10 @@
   for (const PoolDemand& demand : demands) {
     if (demand.cores_per_instance <= 0 && !demand.standby) continue;
     const double needed =
-        demand.standby ? 0 : demand.wanted_cores / std::max(demand.cores_per_instance, 1.0);
+        demand.standby
+            ? 0
+            : std::max<double>(demand.least_instances,
+                               demand.wanted_cores / std::max(demand.cores_per_instance, 1.0));
     const double lack = needed - demand.instances - arriving[demand.pool];
     if (lack > kMinLack) {
       takers.push_back({.pool = demand.pool, .count = static_cast<int>(std::ceil(lack))});
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -399,6 +399,18 @@
   return cores;
 }
 
+int PoolScheduler::executors_for_lasting() const {
+  int most = 0;
+  for (const JobId& id : m_open_jobs) {
+    for (const StepSpec& step : m_jobs.at(id)->definition()->steps) {
+      if (!step.lasting || step.max_per_executor <= 0) continue;
+      const int executors = (step.replicas + step.max_per_executor - 1) / step.max_per_executor;
+      most = std::max(most, executors);
+    }
+  }
+  return most;
+}
+
 void PoolScheduler::SetRetiring(const ExecutorId& id, bool retiring) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor || executor->retiring == retiring) return;
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -162,6 +162,8 @@
   double waiting_cores() const { return m_waiting_cores; }
   /// @return cores that lasting tasks have.
   double lasting_cores() const;
+  /// @return executors over which the lasting tasks of some step have to be spread.
+  int executors_for_lasting() const;
   /// @return the expected core-seconds of a job.
   double WorkOf(const JobDefinition& definition) const;
 
--- a/src/decisions/scheduling/tests/surge_test.cc
+++ b/src/decisions/scheduling/tests/surge_test.cc
@@ -84,6 +84,21 @@
   EXPECT_EQ(moves[0], (PlannedMove{PoolName("a"), PoolName("spare"), 2}));
 }
 
+// Load pattern: a trough in which a pool has little to do but a service of 24 tasks, each on an
+// executor of its own. Guards against giving away the executor on which the next task that is lost
+// would start: there was none until the pool's next surge.
+TEST(SurgeTest, PoolKeepsRoomToSpreadItsLastingTasks) {
+  PoolDemand spread = Demand("a", 25, 60);
+  spread.least_instances = 24;
+  spread.movable = 1;
+  EXPECT_TRUE(PlanMoves(std::vector{spread, Demand("b", 9, 300)}).empty());
+  spread.instances = 23;
+  spread.movable = 0;
+  const std::vector<PlannedMove> moves = PlanMoves(std::vector{spread, Demand("c", 9, 16)});
+  ASSERT_EQ(moves.size(), 1u);
+  EXPECT_EQ(moves[0], (PlannedMove{PoolName("c"), PoolName("a"), 1}));
+}
+
 // Guards against two pools that send instances to and fro.
 TEST(SurgeTest, PoolsThatHaveWhatTheyWantMoveNothing) {
   const std::vector<PoolDemand> demands{Demand("a", 9, 140), Demand("b", 9, 130)};
