Make one piece of code of what the platform work wrote twice

Cause: read-through of the whole change. No decision changes. - The watcher of owners followed its table in a fifth way; it uses Feed with its own delays, and so logs a lost and regained store. ReadTable refuses to read no partition, as before the watcher did. - A bid that came too late and the watcher took an owner's row over in two places: ObserveOwner. Left: a reborn executor is handled in ListExecutor and OnReport with differences that would change behaviour.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -88,7 +88,7 @@
   if (started_leaving) {
     Note("executor_leaving", {}, 0, info.id);
     // It ends soon with all that runs there; lasting tasks move while others can finish.
-    MoveLastingTasks(executor, now);
+    MoveLastingTasks(info.id, now);
   }
   m_plan_needed = true;
 }
@@ -184,7 +184,7 @@
       continue;
     }
     RepeatStops(executor, now);
-    if (executor.info.leaving) MoveLastingTasks(executor, now);
+    if (executor.info.leaving) MoveLastingTasks(id, now);
   }
   for (const JobId& id : m_open_jobs) {
     Job& job = *FindJobMutable(id);
@@ -311,7 +311,7 @@
   const StepPlacement placement{.spec = spec,
                                 .step = step,
                                 .ready_since = *step.ready_since,
-                                .needs_ticket = NeedsTicket(job)};
+                                .needs_ticket = PolicyOf(job).needs_advice};
   // Without a valid ticket the executors would reject every start.
   if (placement.needs_ticket && (!step.tickets_valid_until || *step.tickets_valid_until <= now)) {
     return true;
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -13,7 +13,6 @@
 constexpr Duration kStuckAfter = 2500ms;
 // A lasting task is at work after a short start-up.
 constexpr Duration kLastingStuckAfter = 5s;
-constexpr int kAtWorkPercent = 100;
 // Shares of a tail target. Reports come about once a second, and a tail may be over its target for
 // some seconds, so the pace is cut to nothing within three reports.
 constexpr double kNearTarget = 0.85;
@@ -183,7 +182,6 @@
     job.MarkBegun();
   } else {
     OrderStop(active.task, task.runs.back(), now);
-    m_plan_needed = true;
   }
 }
 
@@ -203,7 +201,6 @@
   job.FindTask(active.task)->avoided = executor.info.id;
   executor.health.Quarantine(now);
   OrderStop(active.task, run, now);
-  m_plan_needed = true;
 }
 
 // Load pattern: tasks on leftover CPU slow down the tasks beside them that serve users, by amounts
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -13,8 +13,6 @@
 constexpr Duration kStopRepeat = 500ms;
 // An executor refused for want of room: its own view is newer than ours until the next report.
 constexpr Duration kNoRoomPause = 100ms;
-// A lasting task that reports this is at work.
-constexpr int kAtWorkPercent = 100;
 
 }  // namespace
 
@@ -204,8 +202,8 @@
   return stops;
 }
 
-void PoolScheduler::MoveLastingTasks(const ExecutorState& executor, TimePoint now) {
-  for (const StopOrder& stop : StopsWithinBudget(executor.info.id)) StopRun(stop, now);
+void PoolScheduler::MoveLastingTasks(const ExecutorId& id, TimePoint now) {
+  for (const StopOrder& stop : StopsWithinBudget(id)) StopRun(stop, now);
 }
 
 void PoolScheduler::RepeatStops(const ExecutorState& executor, TimePoint now) {
--- a/src/decisions/scheduling/internal/tickets.cc
+++ b/src/decisions/scheduling/internal/tickets.cc
@@ -14,15 +14,13 @@
 
 }  // namespace
 
-bool PoolScheduler::NeedsTicket(const Job& job) const { return PolicyOf(job).needs_advice; }
-
 std::vector<TicketRequest> PoolScheduler::TakeTicketRequests(TimePoint now) {
   std::vector<TicketRequest> requests;
   if (!m_advice_used) return requests;
   for (const JobId& id : m_open_jobs) {
     Job& job = *m_jobs.at(id);
-    if (!NeedsTicket(job)) continue;
     const QueuePolicy& queue = PolicyOf(job);
+    if (!queue.needs_advice) continue;
     for (auto& [number, occurrence] : job.occurrences()) {
       for (size_t i = 0; i < occurrence.steps.size(); ++i) {
         Step& step = occurrence.steps[i];
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -14,6 +14,9 @@
 
 namespace citronferry::scheduling {
 
+/// A lasting task that reports this is at work.
+inline constexpr int kAtWorkPercent = 100;
+
 enum class RunPhase {
   kOrdered,  ///< The executor has not confirmed the start.
   kRunning,
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -138,6 +138,8 @@
   /// @return the lasting tasks of an executor that may be stopped now without taking more tasks of
   ///   a step out of service than its budget allows.
   std::vector<StopOrder> StopsWithinBudget(const ExecutorId& id) const;
+  /// Stops lasting tasks of an executor, so that they start elsewhere, as their budgets allow.
+  void MoveLastingTasks(const ExecutorId& id, TimePoint now);
   /// @return the steps for which tickets are needed now; each is returned once until SetTickets.
   std::vector<TicketRequest> TakeTicketRequests(TimePoint now);
   /// Notes the adviser's answer for a step.
@@ -194,8 +196,6 @@
   void OrderStop(const TaskId& task, Run& run, TimePoint now);
   /// Repeats stops that were not confirmed.
   void RepeatStops(const ExecutorState& executor, TimePoint now);
-  /// Stops lasting tasks of an executor, so that they start elsewhere, as their budgets allow.
-  void MoveLastingTasks(const ExecutorState& executor, TimePoint now);
   /// @param also_stopped tasks of the same step that are being stopped besides.
   /// @return whether the budget of a run's step allows to end the run.
   bool LeavesEnoughAtWork(const RunRef& ref, int also_stopped) const;
@@ -208,7 +208,6 @@
   std::vector<PlanningJob> RankJobs(TimePoint now) const;
   /// @return whether every task of the step that waits was placed.
   bool PlaceStep(Job& job, int occurrence, int step_index, Placer& placer, TimePoint now);
-  bool NeedsTicket(const Job& job) const;
   /// @return the rules for a job, from the configuration in force or else those it was accepted
   /// under.
   const QueuePolicy& PolicyOf(const Job& job) const;
--- /dev/null
+++ b/src/decisions/scheduling/tests/lasting_tasks_test.cc
@@ -0,0 +1,93 @@
+#include <gtest/gtest.h>
+
+#include "decisions/scheduling/tests/fake_pool.h"
+
+namespace citronferry::scheduling {
+namespace {
+
+/// @return a step of three tasks that last, each on an executor of its own, of which one may be out
+///   of service.
+StepSpec MakeSpreadStep() {
+  StepSpec step = MakeStep(3, 1000, 0s);
+  step.lasting = true;
+  step.max_per_executor = 1;
+  step.max_unavailable = 1;
+  return step;
+}
+
+// Guards against AVAIL as seen on ndf-dakar fresh-7db4: a task on an executor that had been silent
+// for seconds counted as at work.
+TEST(PoolSchedulerTest, TaskOnSilentExecutorCountsAsUnavailable) {
+  FakePool pool(3);
+  pool.Submit(MakeJob("a", {MakeSpreadStep()}));
+  pool.Run(300ms);
+  EXPECT_EQ(pool.scheduler().StopsWithinBudget(ExecutorId("x0")).size(), 1u);
+  pool.executor("x1").reachable = false;
+  pool.Run(100ms);
+  EXPECT_TRUE(pool.scheduler().StopsWithinBudget(ExecutorId("x0")).empty());
+}
+
+// Guards against two executors that leave at once and take more tasks of a step than its budget.
+TEST(PoolSchedulerTest, TasksOfLeavingExecutorsMoveWithinTheirBudget) {
+  FakePool pool(5);
+  pool.Submit(MakeJob("a", {MakeSpreadStep()}));
+  pool.Run(300ms);
+  int leaving = 0;
+  for (const auto& [id, executor] : pool.executors()) {
+    if (executor.running().empty()) continue;
+    ExecutorDescription info = executor.info();
+    info.leaving = true;
+    pool.scheduler().ListExecutor(info, pool.now());
+    if (++leaving == 2) break;
+  }
+  for (int i = 0; i < 100; ++i) {
+    pool.Step();
+    int away = 0;
+    for (int index = 0; index < 3; ++index) {
+      if (pool.CopiesOf({.job = JobId("a"), .index = index}) == 0) ++away;
+    }
+    EXPECT_LE(away, 1);
+  }
+  int on_leaving = 0;
+  for (const auto& [id, executor] : pool.executors()) {
+    const ExecutorState* state = pool.scheduler().FindExecutor(id);
+    if (state->info.leaving) on_leaving += static_cast<int>(executor.running().size());
+  }
+  EXPECT_EQ(on_leaving, 0);
+}
+
+// Guards against an unanswered stop that is repeated after another task of its step has gone.
+TEST(PoolSchedulerTest, StopIsNotRepeatedWhileAnotherTaskIsAway) {
+  FakePool pool(3);
+  pool.Submit(MakeJob("a", {MakeSpreadStep()}));
+  pool.Run(300ms);
+  const std::vector<StopOrder> stops = pool.scheduler().StopsWithinBudget(ExecutorId("x0"));
+  ASSERT_EQ(stops.size(), 1u);
+  pool.executor("x0").reachable = false;
+  pool.scheduler().StopRun(stops.front(), pool.now());
+  pool.Step();
+  pool.executor("x0").reachable = true;
+  pool.executor("x1").reachable = false;
+  pool.Run(2s);
+  EXPECT_EQ(pool.starts[stops.front().task], 1);
+  pool.executor("x1").reachable = true;
+  pool.Run(1s);
+  EXPECT_EQ(pool.starts[stops.front().task], 2);
+}
+
+// Guards against lasting tasks that find no room because smaller ones take what becomes free.
+TEST(PoolSchedulerTest, LastingTaskGetsRoomInAFullPool) {
+  FakePool pool(1);
+  for (int i = 0; i < 200; ++i) {
+    pool.Submit(MakeJob("small" + std::to_string(i), {MakeStep(4, 1000, 300ms)}));
+  }
+  pool.Run(200ms);
+  StepSpec lasting = MakeStep(1, 12000, 0s);
+  lasting.lasting = true;
+  pool.Submit(MakeJob("lasting", {lasting}));
+  pool.Run(1s);
+  EXPECT_EQ(pool.CopiesOf({.job = JobId("lasting")}), 1);
+}
+
+}  // namespace
+}  // namespace citronferry::scheduling
--- a/src/fleet/feed.h
+++ b/src/fleet/feed.h
@@ -26,8 +26,13 @@
   using Follow = std::function<Task(int64_t after)>;
 
   /// @param name of the feed in the log.
-  Feed(std::string name, Read read, Follow follow)
-      : m_name(std::move(name)), m_read(std::move(read)), m_follow(std::move(follow)) {}
+  /// @param backoff after errors.
+  Feed(std::string name, Read read, Follow follow,
+       Backoff backoff = Backoff(kFirstRetry, kLongestRetry))
+      : m_name(std::move(name)),
+        m_read(std::move(read)),
+        m_follow(std::move(follow)),
+        m_backoff(backoff) {}
 
   /// @return the next changes, or the error, after which the caller waits for retry_delay().
   Task Next() {
@@ -77,7 +82,7 @@
   std::string m_name;
   Read m_read;
   Follow m_follow;
-  Backoff m_backoff{kFirstRetry, kLongestRetry};
+  Backoff m_backoff;
   bool m_read_next = true;
   bool m_whole = false;
   bool m_lost = false;
--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -82,7 +82,7 @@
                      .max_attempts = static_cast<int>(reader.Integer("attempts", 1)),
                      .latency_multiplier = reader.Number("multiplier"),
                      .target_latency = std::chrono::milliseconds(reader.Integer("target"))};
-  const bj::value* advice = value.is_object() ? value.get_object().if_contains("advice") : nullptr;
+  const bj::value* advice = reader.Find("advice");
   if (!advice) return policy;
   json::ObjectReader advice_reader(*advice);
   policy.needs_advice = true;
@@ -122,16 +122,6 @@
   return step;
 }
 
-QCoro::Task<RetVal<RowChanges>> ReadAsChanges(RowStore& rows, std::string table,
-                                              std::vector<std::string> partitions) {
-  auto range = co_await ReadPartitions(rows, std::move(table), std::move(partitions));
-  if (!range.ok()) co_return range.ret();
-  RowChanges changes;
-  changes.changed = std::move(range->rows);
-  changes.version = range->version;
-  co_return changes;
-}
-
 }  // namespace
 
 std::string JobsTable(const PoolName& pool) { return "jobs-" + pool.str(); }
@@ -142,9 +132,20 @@
   return partitions;
 }
 
+QCoro::Task<RetVal<RowChanges>> ReadTable(RowStore& rows, std::string table,
+                                          std::vector<std::string> partitions) {
+  if (partitions.empty()) co_return Ret(ErrorCode::kInvalidArgument, "no partition to read");
+  auto range = co_await ReadPartitions(rows, std::move(table), std::move(partitions));
+  if (!range.ok()) co_return range.ret();
+  RowChanges changes;
+  changes.changed = std::move(range->rows);
+  changes.version = range->version;
+  co_return changes;
+}
+
 Feed<RowChanges> MakeTableFeed(RowStore& rows, std::string table,
                                std::vector<std::string> partitions, Duration wait) {
-  return {table, [&rows, table, partitions] { return ReadAsChanges(rows, table, partitions); },
+  return {table, [&rows, table, partitions] { return ReadTable(rows, table, partitions); },
           [&rows, table, wait](int64_t after) { return rows.Follow(table, after, wait); }};
 }
 
@@ -224,10 +225,8 @@
   job.schedule = {.first_due_unix_ms = reader.Integer("first_due"),
                   .interval_ms = reader.Integer("interval"),
                   .occurrences = static_cast<int>(reader.Integer("times"))};
-  if (const bj::object* whole = value->if_object()) {
-    if (const bj::value* policy = whole->if_contains("policy")) {
-      job.accepted_policy = DecodePolicy(*policy, job.queue);
-    }
+  if (const bj::value* policy = reader.Find("policy")) {
+    job.accepted_policy = DecodePolicy(*policy, job.queue);
   }
   std::string error;
   if (const bj::array* steps = reader.Array("steps")) {
--- a/src/fleet/pool/internal/instance_directory.cc
+++ b/src/fleet/pool/internal/instance_directory.cc
@@ -45,11 +45,4 @@
   return found == m_instances.end() ? nullptr : &*found;
 }
 
-const Instance* InstanceDirectory::FindByExecutor(const scheduling::ExecutorId& id) const {
-  const auto found =
-      std::find_if(m_instances.begin(), m_instances.end(),
-                   [&](const Instance& instance) { return instance.executor == id; });
-  return found == m_instances.end() ? nullptr : &*found;
-}
-
 }  // namespace citronferry::fleet
--- a/src/fleet/pool/internal/instance_directory.h
+++ b/src/fleet/pool/internal/instance_directory.h
@@ -27,7 +27,6 @@
   TimePoint read_at() const { return m_read_at; }
   const std::vector<Instance>& instances() const { return m_instances; }
   const Instance* Find(const InstanceId& id) const;
-  const Instance* FindByExecutor(const scheduling::ExecutorId& id) const;
 
  private:
   FleetContext& m_context;
--- a/src/fleet/pool/internal/instance_duties.cc
+++ b/src/fleet/pool/internal/instance_duties.cc
@@ -164,10 +164,7 @@
     co_return;
   }
   if (!executor->runs.empty()) {
-    const TimePoint now = m_context.timers.Now();
-    for (const scheduling::StopOrder& stop : m_owner.scheduler().StopsWithinBudget(duty.executor)) {
-      m_owner.scheduler().StopRun(stop, now);
-    }
+    m_owner.scheduler().MoveLastingTasks(duty.executor, m_context.timers.Now());
     m_owner.Pump();
     co_return;
   }
--- a/src/fleet/pool/internal/pool_keeper.cc
+++ b/src/fleet/pool/internal/pool_keeper.cc
@@ -4,6 +4,7 @@
 
 #include "fleet/pool/internal/pool_owner.h"
 #include "fleet/tables.h"
+#include "fleet/watch/watchers.h"
 #include "telemetry/log.h"
 
 namespace citronferry::fleet {
@@ -76,14 +77,7 @@
     // Another candidate was faster, or the store is away; the watcher shows the row as it is. A
     // commit of the owner counts as a sign of life.
     if (result.outcome == TransactionOutcome::kConflict && !result.rows.empty()) {
-      OwnerView& view = m_context.owners[m_pool];
-      const auto owner = DecodeOwner(result.rows.front().value);
-      if (owner.ok() && result.rows.front().version > view.version) {
-        view = {.holder = owner->holder,
-                .incarnation = owner->incarnation,
-                .version = result.rows.front().version,
-                .changed_at = m_context.timers.Now()};
-      }
+      ObserveOwner(m_context, result.rows.front());
     }
     co_await SleepFor(m_context.timers, kLookInterval, &m_stop);
     co_return MakeOk();
--- a/src/fleet/pool/internal/upkeep_ledger.cc
+++ b/src/fleet/pool/internal/upkeep_ledger.cc
@@ -62,17 +62,14 @@
   co_return Ret(ErrorCode::kUnavailable, result.error);
 }
 
-QCoro::Task<Ret> UpkeepLedger::Acquire(int64_t wave, int max_at_once, InstanceId instance) {
+QCoro::Task<Ret> UpkeepLedger::Change(int64_t wave,
+                                      std::function<std::optional<Ret>(WaveProgress&)> change) {
   Backoff backoff(kFirstRetry, kLongestRetry);
   for (int attempt = 0; attempt < kAttempts; ++attempt) {
     auto progress = co_await Read(wave);
     if (!progress.ok()) co_return progress.ret();
-    // After a write whose answer was lost the place is already ours.
-    if (progress->out.contains(instance)) co_return MakeOk();
-    if (static_cast<int>(progress->out.size()) >= max_at_once) {
-      co_return Ret(ErrorCode::kResourceExhausted, "as many instances as allowed are out");
-    }
-    progress->out.insert(instance);
+    const std::optional<Ret> settled = change(progress.value());
+    if (settled) co_return *settled;
     const Ret written = co_await Write(wave, progress.value());
     if (written.ok()) co_return written;
     co_await SleepFor(m_context.timers, backoff.Next());
@@ -80,21 +77,27 @@
   co_return Ret(ErrorCode::kUnavailable, "the wave changes too often");
 }
 
+QCoro::Task<Ret> UpkeepLedger::Acquire(int64_t wave, int max_at_once, InstanceId instance) {
+  return Change(wave, [max_at_once, instance](WaveProgress& progress) -> std::optional<Ret> {
+    // After a write whose answer was lost the place is already ours.
+    if (progress.out.contains(instance)) return MakeOk();
+    if (static_cast<int>(progress.out.size()) >= max_at_once) {
+      return Ret(ErrorCode::kResourceExhausted, "as many instances as allowed are out");
+    }
+    progress.out.insert(instance);
+    return std::nullopt;
+  });
+}
+
 QCoro::Task<Ret> UpkeepLedger::Release(int64_t wave, InstanceId instance, bool done) {
-  Backoff backoff(kFirstRetry, kLongestRetry);
-  for (int attempt = 0; attempt < kAttempts; ++attempt) {
-    auto progress = co_await Read(wave);
-    if (!progress.ok()) co_return progress.ret();
-    if (!progress->out.contains(instance) && (!done || progress->done.contains(instance))) {
-      co_return MakeOk();
+  return Change(wave, [done, instance](WaveProgress& progress) -> std::optional<Ret> {
+    if (!progress.out.contains(instance) && (!done || progress.done.contains(instance))) {
+      return MakeOk();
     }
-    progress->out.erase(instance);
-    if (done) progress->done.insert(instance);
-    const Ret written = co_await Write(wave, progress.value());
-    if (written.ok()) co_return written;
-    co_await SleepFor(m_context.timers, backoff.Next());
-  }
-  co_return Ret(ErrorCode::kUnavailable, "the wave changes too often");
+    progress.out.erase(instance);
+    if (done) progress.done.insert(instance);
+    return std::nullopt;
+  });
 }
 
 }  // namespace citronferry::fleet
--- a/src/fleet/pool/internal/upkeep_ledger.h
+++ b/src/fleet/pool/internal/upkeep_ledger.h
@@ -1,6 +1,8 @@
 #ifndef CITRONFERRY_FLEET_POOL_INTERNAL_UPKEEP_LEDGER_H_
 #define CITRONFERRY_FLEET_POOL_INTERNAL_UPKEEP_LEDGER_H_
 
+#include <functional>
+#include <optional>
 #include <set>
 
 #include "fleet/fleet_context.h"
@@ -29,6 +31,9 @@
   QCoro::Task<Ret> Release(int64_t wave, InstanceId instance, bool done);
 
  private:
+  /// Changes the row, again if another owner was faster.
+  /// @param change changes what was read, or returns the outcome if nothing has to be written.
+  QCoro::Task<Ret> Change(int64_t wave, std::function<std::optional<Ret>(WaveProgress&)> change);
   QCoro::Task<Ret> Write(int64_t wave, const WaveProgress& progress);
 
   FleetContext& m_context;
--- a/src/fleet/tables.h
+++ b/src/fleet/tables.h
@@ -41,6 +41,10 @@
 /// @return the job that a cancellation's key names, or nothing if the key is that of a definition.
 std::optional<JobId> CancelledJob(std::string_view key);
 
+/// Reads partitions of a table in the form in which a feed returns it.
+/// @return an error if there is no partition, since there is no version to continue from.
+QCoro::Task<RetVal<RowChanges>> ReadTable(RowStore& rows, std::string table,
+                                          std::vector<std::string> partitions);
 /// Makes the feed of a table.
 /// @param partitions those that are read as a whole; changes of any partition are followed.
 /// @param wait longest time to wait for a change.
--- a/src/fleet/watch/watchers.h
+++ b/src/fleet/watch/watchers.h
@@ -14,6 +14,9 @@
 ChildSpec MakeDemandWatcher(FleetContext& context);
 /// Observes who owns each pool.
 ChildSpec MakeOwnerWatcher(FleetContext& context);
+/// Notes who owns a pool, unless something newer is known.
+/// @param row of the table `owners`.
+void ObserveOwner(FleetContext& context, const Row& row);
 
 }  // namespace citronferry::fleet
 
