--- /dev/null
+++ b/review/standins/json.cc
@@ -0,0 +1,2 @@
+// The library for JSON, which is header-only.
+#include <boost/json/src.hpp>
