--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" 1 scheduled-job
+exec "$(dirname "$0")/../run-case.sh" 1 whole-executors
--- a/review/standins/cases.h
+++ b/review/standins/cases.h
@@ -16,9 +16,8 @@
 Verdict RunScheduledJob(Cluster& cluster, bool trouble);
 /// The only executor of a kind is lost for good, for which jobs of the first priority wait.
 Verdict RunLostKind(Cluster& cluster, bool trouble);
-/// An executor is lost that the adviser allows for a job. Another one that it allows is sound, but
-/// not one of the emptiest.
-Verdict RunAdvisedJob(Cluster& cluster, bool trouble);
+/// Lasting jobs come that can never be done, since each needs a whole executor.
+Verdict RunWholeExecutors(Cluster& cluster, bool trouble);
 
 }  // namespace review
 
--- a/review/standins/cluster.h
+++ b/review/standins/cluster.h
@@ -60,8 +60,8 @@
   /// @return the entry that owns the pool, or -1.
   int Owner();
 
-  /// Writes a configuration: one pool, with a queue at /queue/ and one at /advised/, which needs
-  /// the placement adviser.
+  /// Writes a configuration: one pool, with a queue at /queue/ and one of lower priority at
+  /// /second/.
   void Configure(int64_t version);
   Answer Submit(int entry, const std::string& job, const std::string& body,
                 const std::string& queue = "queue");
@@ -91,6 +91,7 @@
   int64_t cpu = 1000;  ///< Thousandths of a core.
   int64_t ms = 250;    ///< Duration of each task.
   std::string required_label;
+  int max_per_executor = 0;
   bool lasting = false;
   int times = 0;  ///< Occurrences of a scheduled job.
   int64_t first_due_ms = 0;
