--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" 3 lost-kind
+exec "$(dirname "$0")/../run-case.sh" 3 restart-behind-cut
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" 4 restart-behind-cut
+exec "$(dirname "$0")/../run-case.sh" 4 store-down
