--- a/review/build.sh
+++ b/review/build.sh
@@ -8,7 +8,7 @@
 for source in standins/*.cc; do
   object=bin/$(basename "$source" .cc).o
   objects+=("$object")
-  ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -c "$source" -o "$object" &
+  ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -c "$source" -o "$object" &
   pids+=($!)
 done
 for pid in "${pids[@]}"; do wait "$pid"; done
