Open an occurrence when a report of a previous owner's run names it

Cause: an occurrence that became due after the last write of the job's progress is in no row. The successor opened it in Advance, 100 ms after its links had asked for the first reports, so those reports named a task of no open occurrence. Their ends were dropped and acknowledged, their active runs stopped as stray ones, and Advance then opened the occurrence as a new one.

Ruled out: that the progress is written too late. An occurrence cannot be written before it is due, and a clock that differs between two owners would leave the same gap.

Change: a report of an executor that may have runs of a previous owner opens the occurrence that it names, unless that occurrence is finished. The ends are then applied and the runs adopted as those of any other job.

--- a/src/decisions/scheduling/internal/job.cc
+++ b/src/decisions/scheduling/internal/job.cc
@@ -44,14 +44,18 @@
   const size_t max_open = std::max<size_t>(1, kMaxOpenTasks / std::max<size_t>(1, tasks));
   while (m_next_occurrence < schedule.occurrences && m_occurrences.size() < max_open &&
          unix_ms >= schedule.first_due_unix_ms + m_next_occurrence * schedule.interval_ms) {
-    const int number = m_next_occurrence++;
-    if (number >= m_finished_prefix && !m_finished_occurrences.contains(number)) {
-      m_occurrences.try_emplace(number, MakeOccurrence());
-      estimate.reset();
-    }
+    OpenOccurrence(m_next_occurrence++);
   }
 }
 
+void Job::OpenOccurrence(int number) {
+  if (is_final() || m_occurrences.contains(number)) return;
+  if (number < m_finished_prefix || number >= m_definition->schedule.occurrences) return;
+  if (m_finished_occurrences.contains(number)) return;
+  m_occurrences.emplace(number, MakeOccurrence());
+  estimate.reset();
+}
+
 Task* Job::FindTask(const TaskId& id) {
   const auto found = m_occurrences.find(id.occurrence);
   if (found == m_occurrences.end()) return nullptr;
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -56,10 +56,17 @@
   executor->reported = true;
 }
 
+Task* PoolScheduler::FindReportedTask(const ExecutorState& executor, const TaskId& id) {
+  Job* job = FindJobMutable(id.job);
+  if (!job) return nullptr;
+  if (executor.inherited && job->inherited()) job->OpenOccurrence(id.occurrence);
+  return job->FindTask(id);
+}
+
 void PoolScheduler::ApplyEnd(ExecutorState& executor, const EndedRun& ended, TimePoint now) {
   m_unsettled.insert(executor.info.id);
   Job* job = FindJobMutable(ended.task.job);
-  Task* task = job ? job->FindTask(ended.task) : nullptr;
+  Task* task = FindReportedTask(executor, ended.task);
   if (!task) {
     // The job or its occurrence has ended, so only the capacity is freed.
     RemoveRun(ended.task, ended.run, executor);
@@ -143,7 +150,7 @@
 
 void PoolScheduler::ApplyActive(ExecutorState& executor, const ActiveRun& active, TimePoint now) {
   Job* job = FindJobMutable(active.task.job);
-  Task* task = job ? job->FindTask(active.task) : nullptr;
+  Task* task = FindReportedTask(executor, active.task);
   if (!task) {
     Note("stray_run", active.task, active.run, executor.info.id, "unknown task");
     m_orders.stops.push_back(
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -107,6 +107,10 @@
   /// Opens the occurrences that are due.
   /// @param unix_ms the wall-clock time in milliseconds.
   void OpenOccurrences(int64_t unix_ms);
+  /// Opens an occurrence, unless it is finished or the job has no such occurrence. A previous owner
+  /// may have started tasks of an occurrence that it did not record, or that is not due yet on the
+  /// clock of this owner.
+  void OpenOccurrence(int number);
   std::map<int, Occurrence>& occurrences() { return m_occurrences; }
   const std::map<int, Occurrence>& occurrences() const { return m_occurrences; }
 
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -210,6 +210,9 @@
  private:
   struct PlanningJob;
 
+  /// @return the task that an executor's report names, or nullptr if it is unknown or its
+  ///   occurrence is finished.
+  Task* FindReportedTask(const ExecutorState& executor, const TaskId& id);
   void ApplyEnd(ExecutorState& executor, const EndedRun& ended, TimePoint now);
   void ApplyDone(ExecutorState& executor, Job& job, const EndedRun& ended, const Run* run,
                  TimePoint now);
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -336,6 +336,42 @@
   for (const auto& [task, count] : pool.starts) EXPECT_EQ(count, 1);
 }
 
+// Guards against an occurrence that runs twice (TWICE, review/2): no row of progress names an
+// occurrence that became due after the last commit, so the successor dropped the ends of its tasks.
+TEST(PoolSchedulerTest, OccurrenceThatEndedDuringATakeoverIsNotRepeated) {
+  FakePool pool(2);
+  JobDefinition job = MakeJob("a", {MakeStep(2, 1000, 300ms), MakeStep(1, 1000, 200ms, {0})});
+  job.schedule = {.first_due_unix_ms = 2000, .interval_ms = 3000, .occurrences = 3};
+  pool.Submit(job);
+  pool.Run(1100ms);
+  ASSERT_EQ(pool.starts.size(), 2u);
+  pool.owner_paused = true;
+  pool.Run(1s);  // Both tasks end.
+  pool.owner_paused = false;
+  pool.TakeOver();
+  ASSERT_TRUE(pool.RunUntilFinal(JobId("a"), 12s));
+  EXPECT_EQ(pool.starts.size(), 9u);
+  for (const auto& [task, count] : pool.starts) EXPECT_EQ(count, 1) << task.occurrence;
+}
+
+// Guards against stopping the tasks of an occurrence that is not due yet on the clock of a
+// successor, and starting them again later.
+TEST(PoolSchedulerTest, SuccessorWithASlowClockAdoptsOccurrences) {
+  FakePool pool(2);
+  JobDefinition job = MakeJob("a", {MakeStep(2, 1000, 500ms)});
+  job.schedule = {.first_due_unix_ms = 2000, .interval_ms = 1000, .occurrences = 3};
+  pool.Submit(job);
+  pool.Run(1100ms);
+  ASSERT_EQ(pool.starts.size(), 2u);
+  pool.unix_ms = -1000;
+  pool.TakeOver();
+  pool.Run(300ms);
+  EXPECT_FALSE(pool.Noted("stray_run"));
+  ASSERT_TRUE(pool.RunUntilFinal(JobId("a"), 6s));
+  EXPECT_EQ(pool.starts.size(), 6u);
+  for (const auto& [task, count] : pool.starts) EXPECT_EQ(count, 1) << task.occurrence;
+}
+
 // Guards against starts without the required ticket, which executors reject.
 TEST(PoolSchedulerTest, StepWaitsForTicketsIfItsQueueNeedsAdvice) {
   FakePool pool(3);
--- a/src/decisions/scheduling/tests/scheduling_property_test.cc
+++ b/src/decisions/scheduling/tests/scheduling_property_test.cc
@@ -44,6 +44,17 @@
     m_pool.Submit(MakeJob(id, {first, second}));
     m_ids.emplace_back(id);
     if (Draw(10) == 0) m_pool.Cancel(JobId(id));
+    if (Draw(6) == 0) SubmitScheduledJob();
+  }
+
+  void SubmitScheduledJob() {
+    JobDefinition job = MakeJob("scheduled" + std::to_string(m_jobs++),
+                                {MakeStep(1 + Draw(3), 500, 100ms * (1 + Draw(10)))});
+    job.schedule = {.first_due_unix_ms = ToMilliseconds(m_pool.now().time_since_epoch()),
+                    .interval_ms = 100 * (1 + Draw(20)),
+                    .occurrences = 1 + Draw(4)};
+    m_ids.push_back(job.id.str());
+    m_pool.Submit(std::move(job));
   }
 
   FakeExecutor& AnyExecutor() {
