Give up the runs of a restarted executor only when it cannot have them

The busiest executor was cut off for a second; its process was killed and started again under its id behind the cut.

Cause: at a restart the owner gave up every run that it had ordered there, also those whose start had no response yet. The header of a call names the id, which both incarnations have, so such a start was carried out by the new one while the task was placed elsewhere.

Ruled out: that only starts in a second attempt matter, as the claim has it. A first attempt on its way, a start that the new incarnation had confirmed already and one that waited in a queue end in the same way.

Change: only runs that the previous incarnation has listed, and of whose starts no attempt went unanswered, are given up at once. The others wait for a report of the new incarnation. If a copy of the start is outstanding, the run is stopped there first, so that the executor rejects the copy. Starts whose run was given up or whose executor has restarted are withheld. On related paths: an outdated row of the registry no longer resets the incarnation; the number of the last end and the lease of one incarnation are not sent to the next after a call without a response; runs of a previous owner that reached the new incarnation are adopted.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -69,22 +69,23 @@
 }
 
 void PoolScheduler::ListExecutor(const ExecutorDescription& info, TimePoint now) {
-  const bool is_new = !m_executors.contains(info.id);
   if (const ExecutorState* known = FindExecutor(info.id);
       known && known->listed && known->info == info)
     return;
   ExecutorState& executor = m_executors[info.id];
-  if (!is_new && info.incarnation_unix_ms > executor.info.incarnation_unix_ms &&
-      executor.info.incarnation_unix_ms != 0) {
-    DropAllRuns(executor, "executor_reborn");
-    executor.applied_end = executor.durable_end = 0;
-    executor.link_durable = false;
-    executor.reported = false;
+  executor.listed = true;
+  executor.unlisted_since.reset();
+  const int64_t known_incarnation = executor.info.incarnation_unix_ms;
+  const int64_t incarnation = info.incarnation_unix_ms == 0 ? known_incarnation  // Not listed.
+                                                            : info.incarnation_unix_ms;
+  // The registry lags behind the executor's own reports.
+  if (incarnation < known_incarnation) return;
+  if (incarnation > known_incarnation && known_incarnation != 0) {
+    OnRestarted(executor, incarnation, now);
   }
   const bool started_leaving = info.leaving && !executor.info.leaving;
   executor.info = info;
-  executor.listed = true;
-  executor.unlisted_since.reset();
+  executor.info.incarnation_unix_ms = incarnation;
   if (!executor.listed_at) executor.listed_at = now;
   if (!executor.link_durable) m_dirty_links.insert(info.id);
   if (started_leaving) {
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -31,10 +31,7 @@
   if (report.incarnation_unix_ms != 0 && known_incarnation != 0) {
     if (report.incarnation_unix_ms < known_incarnation) return;  // From a previous incarnation.
     if (report.incarnation_unix_ms > known_incarnation) {
-      DropAllRuns(*executor, "executor_reborn");
-      executor->applied_end = executor->durable_end = 0;
-      executor->inherited = false;
-      m_dirty_links.insert(id);
+      OnRestarted(*executor, report.incarnation_unix_ms, now);
     }
   }
   if (report.incarnation_unix_ms != 0)
@@ -163,6 +160,7 @@
     Adopt(executor, *job, *task, active, now);
     return;
   }
+  run->listed = true;
   if (run->phase == RunPhase::kOrdered) {
     run->phase = RunPhase::kRunning;
     run->confirmed_at = now;
@@ -180,6 +178,7 @@
                        .phase = RunPhase::kRunning,
                        .ordered_at = now,
                        .confirmed_at = now,
+                       .listed = true,
                        .percent = active.percent,
                        .percent_changed_at = now,
                        .metric = active.metric,
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -57,6 +57,30 @@
   }
 }
 
+void PoolScheduler::OnRestarted(ExecutorState& executor, int64_t incarnation_unix_ms,
+                                TimePoint now) {
+  const ExecutorId& id = executor.info.id;
+  Note("executor_restarted", {}, 0, id);
+  executor.info.incarnation_unix_ms = incarnation_unix_ms;
+  executor.applied_end = executor.durable_end = 0;
+  executor.link_durable = false;
+  executor.reported = false;
+  m_dirty_links.insert(id);
+  for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
+    Run* run = FindRun(ref.task, ref.run, id);
+    if (!run || (run->listed && !run->copy_outstanding)) {
+      Note("run_lost", ref.task, ref.run, id, "executor_reborn");
+      RemoveRun(ref.task, ref.run, executor);
+      continue;
+    }
+    run->listed = false;
+    run->percent = 0;
+    if (!run->copy_outstanding || run->phase == RunPhase::kOrdered) continue;
+    run->stop_ordered_at.reset();  // A stop of the previous incarnation does not count.
+    OrderStop(ref.task, *run, now);
+  }
+}
+
 void PoolScheduler::AbandonRuns(ExecutorState& executor) {
   for (const RunRef& ref : executor.runs) m_abandoned_runs.insert({ref.task, ref.run});
   DropAllRuns(executor, "lease_ran_out");
@@ -99,6 +123,15 @@
   }
 }
 
+bool PoolScheduler::IsWanted(const StartOrder& order) {
+  const Run* run = FindRun(order.task, order.run, order.executor);
+  return run && run->phase == RunPhase::kOrdered;
+}
+
+void PoolScheduler::OnStartUnanswered(const StartOrder& order) {
+  if (Run* run = FindRun(order.task, order.run, order.executor)) run->copy_outstanding = true;
+}
+
 void PoolScheduler::OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now) {
   ExecutorState* executor = FindExecutor(order.executor);
   Run* run = FindRun(order.task, order.run, order.executor);
@@ -119,6 +152,7 @@
       // The run may have started, or may start later. The next report shows which: a run that it
       // does not list is stopped, and the task is placed again once the stop is confirmed.
       Note("start_unanswered", order.task, order.run, order.executor);
+      run->copy_outstanding = true;
       if (run->phase == RunPhase::kOrdered) run->unanswered_at = now;
       return;
     case StartAnswer::kOtherExecutor:
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -34,6 +34,10 @@
   std::optional<TimePoint> confirmed_at;
   /// When the owner stopped waiting for the response to the start.
   std::optional<TimePoint> unanswered_at;
+  /// An attempt to deliver the start had no response, so a copy of the order may still arrive.
+  bool copy_outstanding = false;
+  /// The executor has listed the run, so the run belongs to the executor's known incarnation.
+  bool listed = false;
   std::optional<TimePoint> stop_ordered_at;
   int percent = 0;  ///< Progress that was last reported.
   TimePoint percent_changed_at{};
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -123,6 +123,12 @@
               TimePoint accepted_at, bool inherited);
   void CancelJob(const JobId& id, TimePoint now);
 
+  /// @return whether a run is still to be started; false if it was given up or stopped while its
+  ///   order was waiting.
+  bool IsWanted(const StartOrder& order);
+  /// Records that an attempt to deliver a start had no response. OnStartAnswer follows.
+  void OnStartUnanswered(const StartOrder& order);
+  /// @param answer the result after all attempts.
   void OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now);
   void OnStopAnswer(const StopOrder& order, StopAnswer answer, TimePoint now);
   /// Processes an executor's report.
@@ -235,7 +241,12 @@
   Run* FindRun(const TaskId& task, int64_t run, const ExecutorId& executor);
   /// Removes a run from its task and frees its resources.
   void RemoveRun(const TaskId& task, int64_t run, ExecutorState& executor);
-  /// Removes all runs of an executor whose incarnation or lease has ended.
+  /// Handles the restart of an executor under its id. Runs that the previous incarnation has listed
+  /// have ended. Others stay until a report of the new incarnation, which may have received their
+  /// starts; if a copy of a start is outstanding, the run is stopped first, so that the executor
+  /// rejects the copy.
+  void OnRestarted(ExecutorState& executor, int64_t incarnation_unix_ms, TimePoint now);
+  /// Removes all runs of an executor that has gone or whose lease has ended.
   void DropAllRuns(ExecutorState& executor, std::string_view reason);
   /// Removes the runs of an executor that has not responded until its lease expired. Ends of these
   /// runs that are reported later are ignored.
--- /dev/null
+++ b/src/decisions/scheduling/tests/executor_restart_test.cc
@@ -0,0 +1,111 @@
+#include <gtest/gtest.h>
+
+#include "decisions/scheduling/tests/fake_pool.h"
+
+namespace citronferry::scheduling {
+namespace {
+
+class ExecutorRestartTest : public ::testing::Test {
+ protected:
+  // Submits a task, whose start has no response, and restarts the executor behind a cut.
+  ExecutorRestartTest() {
+    m_pool.Run(100ms);
+    m_pool.Submit(MakeJob("a", {MakeStep(1, 1000, 300ms)}));
+    Orders orders = m_pool.scheduler().Plan(m_pool.now());
+    m_start = orders.starts.at(0);
+    first().Restart();
+    first().reachable = false;
+  }
+
+  FakeExecutor& first() { return m_pool.executor(m_start.executor.view()); }
+  /// Delivers the start to the executor.
+  StartAnswer Arrive() { return first().Start(m_start, 1, m_pool.now(), m_pool.now() + 5s); }
+
+  void ExpectNoSecondRun(Duration duration) {
+    for (const TimePoint end = m_pool.now() + duration; m_pool.now() < end;) {
+      m_pool.Step();
+      ASSERT_LE(m_pool.CopiesOf(m_start.task), 1);
+    }
+  }
+
+  FakePool m_pool{2};
+  StartOrder m_start;
+};
+
+// Guards against running a task twice (TWICE, review/3): a start that was sent to an executor
+// before it restarted under its id was carried out by the new incarnation, while the task was
+// placed on another executor.
+TEST_F(ExecutorRestartTest, StartThatReachesTheNextIncarnationIsNotRepeatedElsewhere) {
+  m_pool.scheduler().OnStartAnswer(m_start, StartAnswer::kUnknown, m_pool.now());
+  first().reachable = true;
+  ASSERT_EQ(Arrive(), StartAnswer::kStarted);
+  ExpectNoSecondRun(1s);
+  EXPECT_EQ(m_pool.State(JobId("a")), JobState::kCompleted);
+  EXPECT_TRUE(m_pool.starts.empty()) << "the task was started again";
+}
+
+// Guards against the same when the copy arrives after the first report of the new incarnation.
+TEST_F(ExecutorRestartTest, OutstandingStartIsRejectedByTheNextIncarnation) {
+  m_pool.scheduler().OnStartAnswer(m_start, StartAnswer::kUnknown, m_pool.now());
+  first().reachable = true;
+  ExpectNoSecondRun(200ms);
+  EXPECT_EQ(m_pool.starts[m_start.task], 1) << "the task waits although the copy is rejected";
+  EXPECT_EQ(Arrive(), StartAnswer::kRunOutdated);
+  ExpectNoSecondRun(1s);
+  EXPECT_EQ(m_pool.State(JobId("a")), JobState::kCompleted);
+}
+
+// Guards against the same when a later attempt was answered: the previous incarnation has listed
+// the run, but a copy of its start is outstanding.
+TEST_F(ExecutorRestartTest, ListedRunWithAnOutstandingStartIsStoppedBeforeItIsPlacedAgain) {
+  first().reachable = true;
+  m_pool.scheduler().OnStartUnanswered(m_start);
+  ASSERT_EQ(Arrive(), StartAnswer::kStarted);
+  m_pool.scheduler().OnStartAnswer(m_start, StartAnswer::kStarted, m_pool.now());
+  m_pool.Step();
+  first().Restart();
+  m_pool.Step();
+  EXPECT_TRUE(m_pool.starts.empty());
+  m_pool.Run(100ms);
+  EXPECT_EQ(Arrive(), StartAnswer::kRunOutdated);
+  ExpectNoSecondRun(1s);
+  EXPECT_EQ(m_pool.State(JobId("a")), JobState::kCompleted);
+}
+
+// Guards against giving up a run of the new incarnation, whose start was answered before the owner
+// learned of the restart.
+TEST_F(ExecutorRestartTest, RunThatTheNextIncarnationConfirmedGoesOn) {
+  first().reachable = true;
+  ASSERT_EQ(Arrive(), StartAnswer::kStarted);
+  m_pool.scheduler().OnStartAnswer(m_start, StartAnswer::kStarted, m_pool.now());
+  ExpectNoSecondRun(1s);
+  EXPECT_EQ(m_pool.State(JobId("a")), JobState::kCompleted);
+  EXPECT_TRUE(m_pool.starts.empty()) << "the task was started again";
+}
+
+// Guards against giving up the runs of an executor twice: the registry still lists the previous
+// incarnation after a report of the new one.
+TEST_F(ExecutorRestartTest, OutdatedRegistryDoesNotEndRunsOfTheNextIncarnation) {
+  m_pool.registry_lags = true;
+  ExecutorDescription outdated = first().info();
+  --outdated.incarnation_unix_ms;
+  first().reachable = true;
+  ASSERT_EQ(Arrive(), StartAnswer::kStarted);
+  m_pool.scheduler().OnStartAnswer(m_start, StartAnswer::kStarted, m_pool.now());
+  m_pool.Step();
+  outdated.labels.emplace_back("changed");
+  m_pool.scheduler().ListExecutor(outdated, m_pool.now());
+  ExpectNoSecondRun(1s);
+  EXPECT_EQ(m_pool.State(JobId("a")), JobState::kCompleted);
+  EXPECT_TRUE(m_pool.starts.empty()) << "the task was started again";
+}
+
+// Guards against the delivery of starts that waited while their run was given up.
+TEST_F(ExecutorRestartTest, StartOfARunThatWasGivenUpIsNotWanted) {
+  EXPECT_TRUE(m_pool.scheduler().IsWanted(m_start));
+  m_pool.scheduler().OnExecutorGone(m_start.executor, m_pool.now());
+  EXPECT_FALSE(m_pool.scheduler().IsWanted(m_start));
+}
+
+}  // namespace
+}  // namespace citronferry::scheduling
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -32,6 +32,7 @@
   const ExecutorDescription& info() const { return m_info; }
   bool reachable = true;       ///< Whether calls arrive and responses come back.
   bool loses_answers = false;  ///< Calls arrive, but their responses are lost.
+  bool delays_starts = false;  ///< Starts have no response and are carried out late.
   bool fails_everything = false;
   double slowdown_factor = 1;
 
@@ -177,6 +178,10 @@
  public:
   static constexpr Duration kLease = 5s;
   static constexpr Duration kStep = 20ms;
+  /// Time after which an executor carries out a start that it delays.
+  static constexpr Duration kLateness = 700ms;
+  /// Time after which the network drops a start for an executor that cannot be reached.
+  static constexpr Duration kMaxHeldTime = 2s;
 
   explicit FakePool(int executors,
                     Resources capacity = {.cpu_millicores = 16000, .memory_mb = 64000}) {
@@ -216,7 +221,9 @@
     }
     for (const JobId& id : m_store.cancelled) m_scheduler->CancelJob(id, m_now);
     for (auto& [id, executor] : m_executors) {
-      if (listed(id)) m_scheduler->ListExecutor(executor.info(), m_now);
+      if (!listed(id)) continue;
+      m_registry.emplace(id, executor.info());
+      m_scheduler->ListExecutor(m_registry.at(id), m_now);
     }
   }
 
@@ -236,10 +243,14 @@
   void Step() {
     m_now += kStep;
     for (auto& [id, executor] : m_executors) executor.Advance(m_now);
+    DeliverLateStarts();
     if (owner_paused) return;
+    ListRestartedExecutors();
     for (auto& [id, executor] : m_executors) {
       const ExecutorState* state = m_scheduler->FindExecutor(id);
       if (!state) continue;
+      if (executor.reachable) m_reached_at[id] = m_now;
+      if (!executor.reachable && m_now - m_reached_at[id] < call_timeout) continue;
       if (state->responding) m_scheduler->OnLeaseExtended(id, m_now);
       const TimePoint lease = state->responding ? m_now + kLease : TimePoint{};
       const auto report = executor.ExtendLease(m_epoch, state->durable_end, m_now, lease);
@@ -288,12 +299,12 @@
 
   void ExecuteOrders(const Orders& orders) {
     for (const StartOrder& start : orders.starts) {
-      FakeExecutor& executor = m_executors.at(start.executor);
       m_scheduler->OnLeaseExtended(start.executor, m_now);
       ++starts[start.task];
-      StartAnswer answer = executor.Start(start, m_epoch, m_now, m_now + kLease);
+      StartAnswer answer = Deliver(start);
       if (answer == StartAnswer::kUnknown && repeat_starts) {
-        answer = executor.Start(start, m_epoch, m_now, m_now + kLease);
+        m_scheduler->OnStartUnanswered(start);
+        answer = Deliver(start);
       }
       m_scheduler->OnStartAnswer(start, answer, m_now);
     }
@@ -329,14 +340,70 @@
   bool links_delayed = false;  ///< Commits have no space for the rows of links.
   int link_writes = 0;         ///< Rows of links that were committed.
   bool repeat_starts = false;
+  /// Time without a response after which the owner takes an executor for unresponsive.
+  Duration call_timeout{};
+  bool registry_lags = false;  ///< Changes of executors do not reach the registry.
   int64_t unix_ms = 0;
   std::set<ExecutorId> unlisted;
   std::map<TaskId, int> starts;
+  int most_copies = 0;  ///< Of a task at a time, when a late start was carried out.
 
  private:
+  /// A start that has had no response and may still be carried out.
+  struct LateStart {
+    TimePoint sent_at{};
+    StartOrder order;
+    int64_t token = 0;
+    TimePoint lease_end{};
+    int64_t incarnation_unix_ms = 0;  ///< Of the executor when the start was sent.
+    bool held_by_network = false;     ///< It arrives once the executor can be reached.
+  };
+
+  StartAnswer Deliver(const StartOrder& order) {
+    FakeExecutor& executor = m_executors.at(order.executor);
+    const TimePoint lease_end = m_now + kLease;
+    if (executor.reachable && !executor.delays_starts) {
+      return executor.Start(order, m_epoch, m_now, lease_end);
+    }
+    m_late_starts.push_back({.sent_at = m_now,
+                             .order = order,
+                             .token = m_epoch,
+                             .lease_end = lease_end,
+                             .incarnation_unix_ms = executor.info().incarnation_unix_ms,
+                             .held_by_network = !executor.reachable});
+    return StartAnswer::kUnknown;
+  }
+
+  void DeliverLateStarts() {
+    std::erase_if(m_late_starts, [this](const LateStart& late) {
+      FakeExecutor& executor = m_executors.at(late.order.executor);
+      const Duration age = m_now - late.sent_at;
+      if (late.held_by_network ? !executor.reachable : age < kLateness) return age > kMaxHeldTime;
+      // An executor that restarts forgets the starts that it has received.
+      const bool forgotten =
+          !late.held_by_network && late.incarnation_unix_ms != executor.info().incarnation_unix_ms;
+      if (!forgotten) executor.Start(late.order, late.token, m_now, late.lease_end);
+      most_copies = std::max(most_copies, CopiesOf(late.order.task));
+      return true;
+    });
+  }
+
+  void ListRestartedExecutors() {
+    if (registry_lags) return;
+    for (auto& [id, info] : m_registry) {
+      const FakeExecutor& executor = m_executors.at(id);
+      if (!listed(id) || info == executor.info()) continue;
+      info = executor.info();
+      m_scheduler->ListExecutor(info, m_now);
+    }
+  }
+
   TimePoint m_now{1s};
   int64_t m_epoch = 0;
   std::map<ExecutorId, FakeExecutor> m_executors;
+  std::map<ExecutorId, ExecutorDescription> m_registry;
+  std::map<ExecutorId, TimePoint> m_reached_at;
+  std::vector<LateStart> m_late_starts;
   DurableState m_store;
   std::unique_ptr<PoolScheduler> m_scheduler;
   std::vector<SchedulerNote> m_notes;
--- a/src/decisions/scheduling/tests/scheduling_property_test.cc
+++ b/src/decisions/scheduling/tests/scheduling_property_test.cc
@@ -9,11 +9,12 @@
 namespace citronferry::scheduling {
 namespace {
 
-/// A random schedule of jobs and faults: unreachable and restarted executors, lost responses, a
-/// paused or replaced owner, an unavailable store.
+/// A random schedule of jobs and faults: unreachable and restarted executors, lost responses,
+/// starts that are carried out late, a stale registry, a paused or replaced owner, an unavailable
+/// store.
 class FaultSchedule {
  public:
-  explicit FaultSchedule(uint64_t seed) : m_random(seed), m_pool(5) {}
+  explicit FaultSchedule(uint64_t seed) : m_random(seed), m_pool(5) { m_pool.call_timeout = 500ms; }
 
   void RunSchedule() {
     for (m_step = 0; m_step < 600 && !::testing::Test::HasFatalFailure(); ++m_step) {
@@ -84,6 +85,18 @@
       case 6:
         m_pool.repeat_starts = !m_pool.repeat_starts;
         break;
+      case 7: {
+        FakeExecutor& executor = AnyExecutor();
+        executor.reachable = false;
+        executor.Restart();
+        break;
+      }
+      case 8:
+        AnyExecutor().delays_starts = true;
+        break;
+      case 9:
+        m_pool.registry_lags = !m_pool.registry_lags;
+        break;
       default:
         if (Draw(15) == 0) ClearFaults();
     }
@@ -93,14 +106,17 @@
     for (auto& [id, executor] : m_pool.executors()) {
       executor.reachable = true;
       executor.loses_answers = false;
+      executor.delays_starts = false;
     }
     // A paused owner is replaced, as after the expiry of its lease.
     if (m_pool.owner_paused) m_pool.TakeOver();
     m_pool.owner_paused = false;
     m_pool.store_unavailable = false;
+    m_pool.registry_lags = false;
   }
 
   void Check() {
+    ASSERT_LE(m_pool.most_copies, 1) << "a late start ran beside another run at step " << m_step;
     std::map<TaskId, int> copies;
     for (const auto& [id, executor] : m_pool.executors()) {
       ASSERT_TRUE(Fits(executor.used(), executor.info().capacity)) << "over capacity";
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -74,9 +74,12 @@
 void ExecutorLink::Send(StopOrder order) { Queue(std::move(order)); }
 void ExecutorLink::Send(PaceOrder order) { Queue(std::move(order)); }
 
-void ExecutorLink::ReadClock(int64_t clock_ms, TimePoint now) {
-  m_clock_ms = clock_ms;
+void ExecutorLink::OnReported(const scheduling::ExecutorReport& report, TimePoint requested_at,
+                              TimePoint now) {
+  m_clock_ms = report.clock_ms;
   m_clock_read_at = now;
+  m_reported_at = requested_at;
+  m_incarnation_unix_ms = report.incarnation_unix_ms;
 }
 
 std::optional<int64_t> ExecutorLink::LeaseFrom(TimePoint now) const {
@@ -87,6 +90,11 @@
          ToMilliseconds(m_owner.context().options.executor_lease);
 }
 
+bool ExecutorLink::SameIncarnation(const ExecutorState& state) const {
+  return m_reported_at && *m_reported_at > m_unanswered_at &&
+         state.info.incarnation_unix_ms == m_incarnation_unix_ms;
+}
+
 QCoro::Task<void> ExecutorLink::WaitUntilDurable() {
   TimerService& timers = m_owner.context().timers;
   const TimePoint deadline = timers.Now() + kDurableWait;
@@ -117,16 +125,12 @@
       continue;
     }
     m_address = state->info.address;
-    if (m_incarnation_unix_ms != state->info.incarnation_unix_ms) m_clock_ms.reset();
-    m_incarnation_unix_ms = state->info.incarnation_unix_ms;
     const TimePoint asked_at = timers.Now();
-    HoldCall call{.fencing_token = m_owner.epoch(),
-                  .acknowledged_end = state->durable_end,
-                  .timeout = kHoldTimeout,
-                  .abort = &ended};
+    HoldCall call{.fencing_token = m_owner.epoch(), .timeout = kHoldTimeout, .abort = &ended};
     // The lease of an unresponsive executor is not extended, so that its runs can be replaced once
     // the lease has expired.
-    if (state->responding) {
+    if (state->responding && SameIncarnation(*state)) {
+      call.acknowledged_end = state->durable_end;
       call.wait = kHoldWait;
       call.lease_until_ms = LeaseFrom(asked_at);
     }
@@ -136,8 +140,8 @@
     const TimePoint now = timers.Now();
     switch (result.outcome) {
       case HoldOutcome::kReported:
-        ReadClock(result.report.clock_ms, now);
         m_owner.scheduler().OnReport(m_id, result.report, asked_at, now);
+        OnReported(result.report, asked_at, now);
         backoff.Reset();
         m_owner.ProcessUpdates();
         co_await SleepFor(timers, kHoldPause, &ended);
@@ -153,6 +157,7 @@
              {"epoch", m_owner.epoch()}});
         break;
       case HoldOutcome::kNoAnswer:
+        m_unanswered_at = now;
         m_owner.scheduler().OnNoAnswer(m_id);
         break;
     }
@@ -179,7 +184,9 @@
     const TimePoint now = timers.Now();
     const ExecutorState* state = m_owner.scheduler().FindExecutor(m_id);
     const std::optional<int64_t> lease = LeaseFrom(now);
-    const bool withheld = !state || !state->responding || !lease || !m_owner.may_order() ||
+    const bool withheld = !state || !state->responding || !lease ||
+                          state->info.incarnation_unix_ms != m_incarnation_unix_ms ||
+                          !m_owner.scheduler().IsWanted(order) || !m_owner.may_order() ||
                           now - queued_at > kMaxOrderAge;
     if (withheld) break;
     m_owner.scheduler().OnLeaseExtended(m_id, now);
@@ -191,6 +198,8 @@
     if (m_owner.ended().requested()) co_return;
     if (answer != StartAnswer::kUnknown) break;
     unanswered = true;
+    m_unanswered_at = timers.Now();
+    m_owner.scheduler().OnStartUnanswered(order);
   }
   if (unanswered && !SettlesEarlierAttempts(answer)) answer = StartAnswer::kUnknown;
   m_owner.scheduler().OnStartAnswer(order, answer, timers.Now());
@@ -202,6 +211,7 @@
   const StopAnswer answer = co_await m_owner.context().platform.executors.Stop(
       Address(), order, m_owner.epoch(), kOrderTimeout);
   if (m_owner.ended().requested()) co_return;
+  if (answer == StopAnswer::kUnknown) m_unanswered_at = m_owner.context().timers.Now();
   m_owner.scheduler().OnStopAnswer(order, answer, m_owner.context().timers.Now());
 }
 
--- a/src/fleet/pool/internal/executor_link.h
+++ b/src/fleet/pool/internal/executor_link.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <variant>
 
+#include "decisions/scheduling/executor_state.h"
 #include "decisions/scheduling/types.h"
 #include "fleet/interfaces/executors.h"
 #include "supervision/awaitables.h"
@@ -55,11 +56,15 @@
   QCoro::Task<void> Deliver(scheduling::PaceOrder order, TimePoint queued_at);
   void Queue(Order order);
   ExecutorAddress Address() const { return {.id = m_id, .address = m_address, .relay = m_relay}; }
-  /// Stores a reading of the executor's clock.
-  void ReadClock(int64_t clock_ms, TimePoint now);
+  /// Stores the incarnation and a reading of the clock of the executor.
+  void OnReported(const scheduling::ExecutorReport& report, TimePoint requested_at, TimePoint now);
   /// @return the end of a lease that begins now, in milliseconds of the executor's clock; nothing
   ///   while the clock has not been read.
   std::optional<int64_t> LeaseFrom(TimePoint now) const;
+  /// Ends of runs are numbered, and leases end, by the incarnation of the executor. An executor
+  /// that has not answered a call may have restarted since its last report.
+  /// @return whether the executor has answered all calls since the one that returned the report.
+  bool SameIncarnation(const scheduling::ExecutorState& state) const;
   /// Waits until the ended runs that were reported are durable.
   QCoro::Task<void> WaitUntilDurable();
 
@@ -70,6 +75,8 @@
   std::optional<int64_t> m_clock_ms;  // Last reading of the executor's clock.
   TimePoint m_clock_read_at{};
   int64_t m_incarnation_unix_ms = 0;
+  std::optional<TimePoint> m_reported_at;  // When the last report was requested.
+  TimePoint m_unanswered_at{};             // When a call had no response, the last time.
   int m_running_tasks = 0;
   std::array<Mailbox<QueuedOrder>, kRelayedOrders> m_orders;
   struct Committed {};  // Event without data.
--- /dev/null
+++ b/src/fleet/tests/executor_link_test.cc
@@ -0,0 +1,134 @@
+#include "fleet/pool/internal/executor_link.h"
+
+#include <deque>
+
+#include "fleet/pool/internal/pool_owner.h"
+#include "fleet/tables.h"
+#include "fleet/tests/fleet_fixture.h"
+
+namespace citronferry::fleet {
+namespace {
+
+using scheduling::ExecutorId;
+using scheduling::StartAnswer;
+
+constexpr int64_t kIncarnation = 1000;
+
+/// Executor with scripted results of its holds.
+class ScriptedExecutors : public Executors {
+ public:
+  explicit ScriptedExecutors(TimerService& timers) : m_timers(timers) {}
+
+  QCoro::Task<HoldResult> Hold(ExecutorAddress, HoldCall call) override {
+    holds.push_back(call);
+    if (results.size() > 1) {
+      HoldResult result = results.front();
+      results.pop_front();
+      co_return result;
+    }
+    co_await SleepFor(m_timers, call.wait);
+    HoldResult last = results.front();
+    co_return last;
+  }
+  QCoro::Task<StartAnswer> Start(ExecutorAddress, StartCall) override {
+    ++starts;
+    if (on_start) on_start();
+    co_return StartAnswer::kUnknown;
+  }
+  QCoro::Task<scheduling::StopAnswer> Stop(ExecutorAddress, scheduling::StopOrder, int64_t,
+                                           Duration) override {
+    co_return scheduling::StopAnswer::kAccepted;
+  }
+  QCoro::Task<Ret> Pace(ExecutorAddress, scheduling::PaceOrder, int64_t, Duration) override {
+    co_return MakeOk();
+  }
+
+  std::deque<HoldResult> results;  ///< Of the next holds; the last one is repeated.
+  std::vector<HoldCall> holds;
+  int starts = 0;
+  std::function<void()> on_start;
+
+ private:
+  TimerService& m_timers;
+};
+
+class ExecutorLinkTest : public FleetTest {
+ protected:
+  ExecutorLinkTest() {
+    const OwnerRecord record{.holder = "entry-1", .incarnation = "life-1"};
+    m_epoch =
+        m_rows.Apply({.puts = {{.key = OwnerKey(m_pool), .value = EncodeOwner(record)}}}).version;
+    List(kIncarnation);
+  }
+
+  void List(int64_t incarnation) {
+    const ExecutorId id("x");
+    m_linked.registry.Set({{id,
+                            {.id = id,
+                             .pool = m_pool,
+                             .address = "10.0.0.1:80",
+                             .capacity = {.cpu_millicores = 16000, .memory_mb = 64000},
+                             .incarnation_unix_ms = incarnation}}});
+  }
+
+  static HoldResult Reported(int64_t incarnation) {
+    return {.outcome = HoldOutcome::kReported,
+            .report = {.incarnation_unix_ms = incarnation, .clock_ms = 1}};
+  }
+
+  /// Runs an owner of the pool until a condition holds.
+  template <typename Predicate>
+  bool RunOwnerUntil(Predicate predicate) {
+    PoolOwner owner(m_linked, m_pool, {.epoch = m_epoch, .acquired_at = m_timers->Now()});
+    StopSignal stop;
+    TaskScope scope;
+    scope.Spawn([&]() -> QCoro::Task<void> { static_cast<void>(co_await owner.Run(stop)); });
+    const bool held = ProcessEventsUntil(predicate);
+    stop.Request();
+    return ProcessEventsUntil([&] { return scope.running() == 0; }) && held;
+  }
+
+  PoolName m_pool{"pool"};
+  int64_t m_epoch = 0;
+  ScriptedExecutors m_scripted{*m_timers};
+  PlatformServices m_services{.rows = m_rows,
+                              .announcements = m_announcements,
+                              .executors = m_scripted,
+                              .adviser = m_adviser,
+                              .instances = m_instances,
+                              .clients = m_clients};
+  FleetContext m_linked{
+      .options = m_options, .timers = *m_timers, .metrics = m_metrics, .platform = m_services};
+};
+
+// Guards against ends that are lost (TWICE): an executor that restarts counts its ends anew. After
+// a call without a response it may have restarted, and a hold with the number of an end of its
+// previous incarnation, or with a lease on the previous clock, would concern the new one.
+TEST_F(ExecutorLinkTest, UnansweredCallEndsAcknowledgementsAndLeasesUntilTheNextReport) {
+  HoldResult with_end = Reported(kIncarnation);
+  with_end.report.ended = {{.number = 7, .task = {.job = JobId("gone")}, .run = 1}};
+  m_scripted.results = {with_end, HoldResult{}, Reported(kIncarnation + 1)};
+  ASSERT_TRUE(RunOwnerUntil([&] { return m_scripted.holds.size() >= 4; }));
+  EXPECT_EQ(m_scripted.holds[0].acknowledged_end, 0);
+  EXPECT_EQ(m_scripted.holds[1].acknowledged_end, 7);
+  EXPECT_TRUE(m_scripted.holds[1].lease_until_ms);
+  EXPECT_EQ(m_scripted.holds[2].acknowledged_end, 0);
+  EXPECT_FALSE(m_scripted.holds[2].lease_until_ms);
+  EXPECT_EQ(m_scripted.holds[3].acknowledged_end, 0);
+  EXPECT_TRUE(m_scripted.holds[3].lease_until_ms);
+}
+
+// Guards against a second attempt of a start that reaches the next incarnation of an executor
+// (TWICE, review/3).
+TEST_F(ExecutorLinkTest, StartIsNotRepeatedAfterARestart) {
+  const scheduling::JobDefinition job{
+      .id = JobId("a"), .queue = QueueName("queue"), .payload = "work", .steps = {{}}};
+  m_rows.Apply({.puts = {{.key = JobKey(m_pool, job.id), .value = EncodeJob(job)}}});
+  m_scripted.results = {Reported(kIncarnation)};
+  m_scripted.on_start = [this] { List(kIncarnation + 1); };
+  ASSERT_TRUE(RunOwnerUntil([&] { return m_scripted.starts > 0 && m_scripted.holds.size() >= 3; }));
+  EXPECT_EQ(m_scripted.starts, 1);
+}
+
+}  // namespace
+}  // namespace citronferry::fleet
