Repeat only safe requests in the HTTP client

Cause: the HTTP client repeated an idempotent request when its kept-alive connection closed before the first byte of the response. The first attempt had taken effect; the repetition found no connection, and "certainly not sent" was returned for the whole request. A 503 or 429 to the repetition misled in the same way.

Ruled out: the job repository, which marks submissions of unknown outcome and answers 504 for them; it was never told.

Change: the client repeats safe requests only, which read. The connection of any other request that closes gives an unknown outcome, and its sender repeats it knowing that. Links repeat a hold or a stop at once when a connection closes.

--- a/src/fleet/entry/internal/job_repository.cc
+++ b/src/fleet/entry/internal/job_repository.cc
@@ -70,11 +70,14 @@
   });
 }
 
+CallOutcome JobRepository::OutcomeOfFailure(const Submission& submission) {
+  return submission.uncertain ? CallOutcome::kUnknownOutcome : CallOutcome::kNotAccepted;
+}
+
 void JobRepository::ExpireOverdue(TimePoint now, Submissions& batch) {
   std::erase_if(batch, [&](const std::shared_ptr<Submission>& submission) {
     if (now < submission->deadline) return false;
-    submission->outcome.Set(submission->uncertain ? CallOutcome::kUnknownOutcome
-                                                  : CallOutcome::kNotAccepted);
+    submission->outcome.Set(OutcomeOfFailure(*submission));
     return true;
   });
 }
@@ -103,8 +106,7 @@
         // An earlier attempt may still have stored the uncertain submissions, but not the others.
         if (++refusals < kMaxRefusals) break;
         for (const auto& submission : batch) {
-          submission->outcome.Set(submission->uncertain ? CallOutcome::kUnknownOutcome
-                                                        : CallOutcome::kNotAccepted);
+          submission->outcome.Set(OutcomeOfFailure(*submission));
         }
         Log(LogLevel::kWarning, "submissions_refused",
             {{"count", batch.size()}, {"error", result.error}});
@@ -115,7 +117,9 @@
             {{"count", batch.size()}, {"error", result.error}});
         break;
       case TransactionOutcome::kInvalid:
-        for (const auto& submission : batch) submission->outcome.Set(CallOutcome::kNotAccepted);
+        for (const auto& submission : batch) {
+          submission->outcome.Set(OutcomeOfFailure(*submission));
+        }
         Log(LogLevel::kError, "submissions_invalid",
             {{"count", batch.size()}, {"error", result.error}});
         co_return;
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -28,7 +28,7 @@
 // An executor reports ended runs again until they are acknowledged, which needs a commit first.
 constexpr Duration kDurableWait = 500ms;
 constexpr Duration kOrderTimeout = 400ms;
-constexpr int kStartAttempts = 2;
+constexpr int kOrderAttempts = 2;
 // Orders that were queued for longer are dropped, and the scheduler decides again.
 constexpr Duration kMaxOrderAge = 1s;
 constexpr Duration kInitialRetryDelay = 100ms;
@@ -129,7 +129,8 @@
     HoldCall call{.fencing_token = m_owner.epoch(), .timeout = kHoldTimeout, .abort = &ended};
     // The lease of an unresponsive executor is not extended, so that its runs can be replaced once
     // the lease has expired.
-    if (state->responding && SameIncarnation(*state)) {
+    const bool same_incarnation = state->responding && SameIncarnation(*state);
+    if (same_incarnation) {
       call.acknowledged_end = state->durable_end;
       call.wait = kHoldWait;
       call.lease_until_ms = LeaseFrom(asked_at);
@@ -158,6 +159,8 @@
         break;
       case HoldOutcome::kNoAnswer:
         m_unanswered_at = now;
+        // A kept-alive connection that closes does not tell that the executor is gone.
+        if (same_incarnation && now - asked_at < kHoldTimeout) continue;
         m_owner.scheduler().OnNoAnswer(m_id);
         break;
     }
@@ -180,7 +183,7 @@
   TimerService& timers = m_owner.context().timers;
   StartAnswer answer = StartAnswer::kNotSent;
   bool unanswered = false;
-  for (int attempt = 0; attempt < kStartAttempts; ++attempt) {
+  for (int attempt = 0; attempt < kOrderAttempts; ++attempt) {
     const TimePoint now = timers.Now();
     const ExecutorState* state = m_owner.scheduler().FindExecutor(m_id);
     const std::optional<int64_t> lease = LeaseFrom(now);
@@ -207,12 +210,20 @@
 }
 
 QCoro::Task<void> ExecutorLink::Deliver(StopOrder order, TimePoint) {
-  if (!m_owner.may_order()) co_return;
-  const StopAnswer answer = co_await m_owner.context().platform.executors.Stop(
-      Address(), order, m_owner.epoch(), kOrderTimeout);
-  if (m_owner.ended().requested()) co_return;
-  if (answer == StopAnswer::kUnknown) m_unanswered_at = m_owner.context().timers.Now();
-  m_owner.scheduler().OnStopAnswer(order, answer, m_owner.context().timers.Now());
+  TimerService& timers = m_owner.context().timers;
+  StopAnswer answer = StopAnswer::kUnknown;
+  for (int attempt = 0; attempt < kOrderAttempts; ++attempt) {
+    if (!m_owner.may_order()) co_return;
+    const TimePoint sent_at = timers.Now();
+    answer = co_await m_owner.context().platform.executors.Stop(Address(), order, m_owner.epoch(),
+                                                                kOrderTimeout);
+    if (m_owner.ended().requested()) co_return;
+    if (answer != StopAnswer::kUnknown) break;
+    m_unanswered_at = timers.Now();
+    // The scheduler repeats stops; only a closed connection is replaced at once.
+    if (m_unanswered_at - sent_at >= kOrderTimeout) break;
+  }
+  m_owner.scheduler().OnStopAnswer(order, answer, timers.Now());
 }
 
 QCoro::Task<void> ExecutorLink::Deliver(PaceOrder order, TimePoint) {
--- a/src/fleet/testing/fake_row_store.h
+++ b/src/fleet/testing/fake_row_store.h
@@ -20,6 +20,7 @@
   enum class Fault {
     kNone,
     kRefuse,        ///< The transaction is not applied, and the caller knows.
+    kInvalid,       ///< The transaction is rejected for good.
     kLoseResponse,  ///< The transaction is applied, but the caller does not know the outcome.
     kLoseCall,      ///< The transaction is not applied, and the caller does not know the outcome.
   };
@@ -44,6 +45,9 @@
     if (unavailable || fault == Fault::kRefuse) {
       co_return TransactionResult{.outcome = TransactionOutcome::kRefused, .error = "refused"};
     }
+    if (fault == Fault::kInvalid) {
+      co_return TransactionResult{.outcome = TransactionOutcome::kInvalid, .error = "invalid"};
+    }
     if (fault == Fault::kLoseCall) co_return TransactionResult{.error = "lost"};
     TransactionResult result = Apply(transaction);
     if (fault == Fault::kLoseResponse) co_return TransactionResult{.error = "lost"};
--- a/src/fleet/tests/job_repository_test.cc
+++ b/src/fleet/tests/job_repository_test.cc
@@ -47,6 +47,8 @@
   EXPECT_EQ(Submit("b"), CallOutcome::kUnknownOutcome);
   m_rows.faults = {Fault::kLoseCall, Fault::kRefuse, Fault::kRefuse};
   EXPECT_EQ(Submit("c"), CallOutcome::kUnknownOutcome);
+  m_rows.faults = {Fault::kLoseResponse, Fault::kInvalid};
+  EXPECT_EQ(Submit("d"), CallOutcome::kUnknownOutcome);
 }
 
 // When the store rejects the calls of this entry, the client must be told well before its deadline,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -22,8 +22,14 @@
 
 class ClientConnection;
 
-/// Whether a request may be executed more than once.
-enum class Idempotency { kIdempotent, kNonIdempotent };
+/// Whether a request may be executed more than once, in the terms of HTTP (RFC 9110).
+enum class Idempotency {
+  kSafe,  ///< It only reads, so it is repeated when a kept-alive connection closes.
+  /// It may be executed again, but the caller has to know that an attempt may have taken effect: a
+  /// later response, for example 503, does not tell that the request was not executed.
+  kIdempotent,
+  kNonIdempotent,
+};
 
 struct ClientRequest {
   std::string method = "GET";
@@ -58,14 +64,14 @@
 
 using ExchangeObserver = std::function<void(const ExchangeRecord&)>;
 
-/// HTTP/1.1 client that sends a non-idempotent request at most once. It uses Qt sockets and the
+/// HTTP/1.1 client that sends a request with an effect at most once. It uses Qt sockets and the
 /// message parser and serializer of Boost.Beast.
 ///
 /// Each non-idempotent request has its own connection, which is closed afterwards, so it is never
-/// written to a kept-alive connection that a middlebox has dropped from its state table. Idempotent
-/// requests share kept-alive connections. If a kept-alive connection closes before the first byte
-/// of the response, the request is repeated on another connection, since the server may have closed
-/// the first one while it was idle.
+/// written to a kept-alive connection that a middlebox has dropped from its state table. Safe and
+/// idempotent requests share kept-alive connections. If a kept-alive connection closes before the
+/// first byte of the response, a safe request is repeated on another connection, since the server
+/// may have closed the first one while it was idle.
 class Client {
  public:
   explicit Client(ClientOptions options = {});
--- a/src/http/internal/client.cc
+++ b/src/http/internal/client.cc
@@ -48,7 +48,7 @@
   ServerPool& pool = m_servers[authority];
   if (pool.in_use >= m_options.max_connections_per_server) return nullptr;
   ++pool.in_use;
-  while (idempotency == Idempotency::kIdempotent && !pool.idle.empty()) {
+  while (idempotency != Idempotency::kNonIdempotent && !pool.idle.empty()) {
     std::unique_ptr<ClientConnection> connection = std::move(pool.idle.back());
     pool.idle.pop_back();
     if (connection->reusable()) return connection;
@@ -98,7 +98,7 @@
     }
     // The server may have closed the kept-alive connection while it was idle.
     if (result.outcome == ExchangeOutcome::kClosedBeforeResponse && reused &&
-        request.idempotency == Idempotency::kIdempotent) {
+        request.idempotency == Idempotency::kSafe) {
       continue;
     }
     co_return ToResponse(std::move(result), authority);
--- a/src/http/internal/client_connection.cc
+++ b/src/http/internal/client_connection.cc
@@ -179,7 +179,7 @@
   QTcpSocket* socket = m_socket.get();
   bool sent = false;
   qint64 sent_bytes = 0;
-  const bool keep_alive = request.idempotency == Idempotency::kIdempotent;
+  const bool keep_alive = request.idempotency != Idempotency::kNonIdempotent;
   const auto send = [&] {
     sent = true;
     sent_bytes = socket->write(Serialize(url, request, keep_alive));
--- a/src/http/tests/client_test.cc
+++ b/src/http/tests/client_test.cc
@@ -116,6 +116,44 @@
   EXPECT_TRUE(ProcessEventsUntil([&] { return serving.running() == 0; }));
 }
 
+// Guards against a lost effect (REFUSED, review/4): the server carries out a request on a
+// kept-alive connection and goes down without a response. The request was repeated, found no
+// server, and was reported as never sent; a 503 to the repetition was taken the same way.
+TEST_F(ClientTest, RequestOnAConnectionThatClosesHasAnUnknownOutcome) {
+  for (const Idempotency idempotency : {Idempotency::kIdempotent, Idempotency::kSafe}) {
+    QTcpServer server;
+    ASSERT_TRUE(server.listen(QHostAddress::LocalHost));
+    int requests = 0;
+    QObject::connect(&server, &QTcpServer::newConnection, &server, [&] {
+      QTcpSocket* socket = server.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, socket, [&, socket] {
+        socket->readAll();
+        if (++requests == 2) return socket->abort();
+        socket->write(requests == 1 ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                                    : "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+      });
+    });
+    Client client;
+    const ClientRequest request{
+        .method = "POST",
+        .url = "http://127.0.0.1:" + std::to_string(server.serverPort()) + "/",
+        .idempotency = idempotency};
+    m_results.clear();
+    Send(client, request);
+    ASSERT_TRUE(WaitForResults(1));
+    ASSERT_TRUE(m_results[0].ok());
+    Send(client, request);
+    ASSERT_TRUE(WaitForResults(2));
+    if (idempotency == Idempotency::kSafe) {
+      ASSERT_TRUE(m_results[1].ok());
+      EXPECT_EQ(m_results[1]->status, 503);
+    } else {
+      EXPECT_EQ(m_results[1].code(), ErrorCode::kUnknownOutcome);
+      EXPECT_EQ(requests, 2);
+    }
+  }
+}
+
 // Without a connection the request cannot have been executed, so its outcome is not unknown.
 TEST_F(ClientTest, RefusedConnectionIsReportedAsNotSent) {
   QTcpServer unused;
@@ -218,7 +256,7 @@
   const ClientRequest request{
       .url = "http://127.0.0.1:" + std::to_string(server.serverPort()) + "/",
       .timeout = 100ms,
-      .idempotency = Idempotency::kIdempotent};
+      .idempotency = Idempotency::kSafe};
   Send(client, request);
   ASSERT_TRUE(WaitForResults(1));
   ASSERT_TRUE(m_results[0].ok());
--- a/src/platform/internal/executors.cc
+++ b/src/platform/internal/executors.cc
@@ -207,7 +207,7 @@
                               .headers = {{"Content-Type", "application/json"}},
                               .body = QByteArray::fromStdString(bj::serialize(body)),
                               .timeout = timeout,
-                              .idempotency = http::Idempotency::kIdempotent,
+                              .idempotency = http::Idempotency::kSafe,
                               .kind = "adviser"};
   const auto response = co_await m_client.Send(std::move(request));
   if (!response.ok()) co_return response.ret();
--- a/src/platform/internal/instances.cc
+++ b/src/platform/internal/instances.cc
@@ -45,7 +45,7 @@
     }
     http::ClientRequest request{.url = url,
                                 .timeout = kCallTimeout,
-                                .idempotency = http::Idempotency::kIdempotent,
+                                .idempotency = http::Idempotency::kSafe,
                                 .kind = "instance_list"};
     const auto response = co_await m_client.Send(std::move(request));
     if (!response.ok()) co_return response.ret();
--- a/src/platform/internal/row_store.cc
+++ b/src/platform/internal/row_store.cc
@@ -92,7 +92,7 @@
   http::ClientRequest request{.url = m_url + path_and_query,
                               .timeout = timeout,
                               .progress_extends_timeout = true,
-                              .idempotency = http::Idempotency::kIdempotent,
+                              .idempotency = http::Idempotency::kSafe,
                               .kind = kind};
   auto response = co_await m_client.Send(std::move(request));
   // Reads have no side effects, so every failure, also a lost response, is kUnavailable.
--- a/src/provider/internal/provider_client.cc
+++ b/src/provider/internal/provider_client.cc
@@ -6,10 +6,8 @@
   if (!m_options.token.empty()) {
     call.headers.push_back({"Authorization", "Bearer " + m_options.token});
   }
-  // The HTTP client sends idempotent requests on kept-alive connections and may retry them. A write
-  // must not be retried, because its caller has to learn of an unknown outcome.
   const auto idempotency =
-      call.method == "GET" ? http::Idempotency::kIdempotent : http::Idempotency::kNonIdempotent;
+      call.method == "GET" ? http::Idempotency::kSafe : http::Idempotency::kNonIdempotent;
   http::ClientRequest request{.method = std::move(call.method),
                               .url = m_options.url + call.path,
                               .headers = std::move(call.headers),
