Share reserved executors only beyond half of the pool

Suspected cause: waiting long-running tasks shared one reserved executor before a second one was reserved, so they waited until it was almost empty, while several would have had room earlier.

Change: each waiting task reserves an executor of its own, up to half of the pool; beyond that they share reserved ones.

--- a/src/decisions/scheduling/internal/placement.cc
+++ b/src/decisions/scheduling/internal/placement.cc
@@ -139,18 +139,20 @@
 
 void Placer::Reserve(const StepPlacement& placement) {
   const Resources request = Counted(placement.spec);
+  const auto reserved = static_cast<size_t>(
+      std::count_if(m_candidates.begin(), m_candidates.end(),
+                    [](const Candidate& candidate) { return candidate.reserved; }));
+  const bool may_add = reserved < std::max<size_t>(1, m_candidates.size() / 2);
   const auto preference = [](const Candidate& candidate) {
-    return std::pair(candidate.reserved, candidate.free.cpu_millicores);
+    return std::pair(!candidate.reserved, candidate.free.cpu_millicores);
   };
   Candidate* best = nullptr;
-  size_t reserved = 0;
   for (Candidate& candidate : m_candidates) {
-    if (candidate.reserved) ++reserved;
+    if (!candidate.reserved && !may_add) continue;
     if (!Allows(candidate, placement) || !Fits(request, candidate.free_when_drained)) continue;
     if (!best || preference(candidate) > preference(*best)) best = &candidate;
   }
   if (!best) return;
-  if (!best->reserved && reserved >= std::max<size_t>(1, m_candidates.size() / 2)) return;
   best->reserved = true;
   best->free_when_drained -= request;
 }
--- a/src/decisions/scheduling/placement.h
+++ b/src/decisions/scheduling/placement.h
@@ -47,9 +47,9 @@
   /// @return one executor for each task, or nothing.
   std::optional<std::vector<ExecutorState*>> PlaceGang(const StepPlacement& placement);
   /// Reserves an executor on which a long-running task will fit once the other tasks have ended, so
-  /// that smaller tasks do not take the capacity that becomes free. Long-running tasks share a
-  /// reserved executor if they fit; otherwise the one with the most free CPU is chosen. At most
-  /// half of the executors are reserved, or one, so that other tasks can still be placed.
+  /// that smaller tasks do not take the capacity that becomes free: the one with the most free CPU.
+  /// At most half of the executors are reserved, or one, so that other tasks can still be placed;
+  /// beyond that, long-running tasks share reserved executors.
   void Reserve(const StepPlacement& placement);
 
  private:
