Count unanswered calls instead of comparing their times

Cause: a link tells by time whether an executor has answered every call since the one that returned its last report. A hold that is repeated in the same microsecond as the failure of the one before counted as older than the failure, so the report was taken for an outdated one, and one more hold without a lease followed.

Change: the link counts unanswered calls and stores the count when it requests a report.

--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -74,11 +74,11 @@
 void ExecutorLink::Send(StopOrder order) { Queue(std::move(order)); }
 void ExecutorLink::Send(PaceOrder order) { Queue(std::move(order)); }
 
-void ExecutorLink::OnReported(const scheduling::ExecutorReport& report, TimePoint requested_at,
+void ExecutorLink::OnReported(const scheduling::ExecutorReport& report, int64_t unanswered_before,
                               TimePoint now) {
   m_clock_ms = report.clock_ms;
   m_clock_read_at = now;
-  m_reported_at = requested_at;
+  m_reported_after = unanswered_before;
   m_incarnation_unix_ms = report.incarnation_unix_ms;
 }
 
@@ -91,7 +91,7 @@
 }
 
 bool ExecutorLink::SameIncarnation(const ExecutorState& state) const {
-  return m_reported_at && *m_reported_at > m_unanswered_at &&
+  return m_reported_after == m_unanswered_calls &&
          state.info.incarnation_unix_ms == m_incarnation_unix_ms;
 }
 
@@ -136,13 +136,14 @@
       call.lease_until_ms = LeaseFrom(asked_at);
     }
     if (call.lease_until_ms) m_owner.scheduler().OnLeaseExtended(m_id, asked_at);
+    const int64_t unanswered_before = m_unanswered_calls;
     HoldResult result = co_await m_owner.context().platform.executors.Hold(Address(), call);
     if (ended.requested()) break;
     const TimePoint now = timers.Now();
     switch (result.outcome) {
       case HoldOutcome::kReported:
         m_owner.scheduler().OnReport(m_id, result.report, asked_at, now);
-        OnReported(result.report, asked_at, now);
+        OnReported(result.report, unanswered_before, now);
         backoff.Reset();
         m_owner.ProcessUpdates();
         co_await SleepFor(timers, kHoldPause, &ended);
@@ -158,7 +159,7 @@
              {"epoch", m_owner.epoch()}});
         break;
       case HoldOutcome::kNoAnswer:
-        m_unanswered_at = now;
+        ++m_unanswered_calls;
         // A kept-alive connection that closes does not tell that the executor is gone.
         if (same_incarnation && now - asked_at < kHoldTimeout) continue;
         m_owner.scheduler().OnNoAnswer(m_id);
@@ -201,7 +202,7 @@
     if (m_owner.ended().requested()) co_return;
     if (answer != StartAnswer::kUnknown) break;
     unanswered = true;
-    m_unanswered_at = timers.Now();
+    ++m_unanswered_calls;
     m_owner.scheduler().OnStartUnanswered(order);
   }
   if (unanswered && !SettlesEarlierAttempts(answer)) answer = StartAnswer::kUnknown;
@@ -219,9 +220,9 @@
                                                                 kOrderTimeout);
     if (m_owner.ended().requested()) co_return;
     if (answer != StopAnswer::kUnknown) break;
-    m_unanswered_at = timers.Now();
+    ++m_unanswered_calls;
     // The scheduler repeats stops; only a closed connection is replaced at once.
-    if (m_unanswered_at - sent_at >= kOrderTimeout) break;
+    if (timers.Now() - sent_at >= kOrderTimeout) break;
   }
   m_owner.scheduler().OnStopAnswer(order, answer, timers.Now());
 }
--- a/src/fleet/pool/internal/executor_link.h
+++ b/src/fleet/pool/internal/executor_link.h
@@ -57,7 +57,9 @@
   void Queue(Order order);
   ExecutorAddress Address() const { return {.id = m_id, .address = m_address, .relay = m_relay}; }
   /// Stores the incarnation and a reading of the clock of the executor.
-  void OnReported(const scheduling::ExecutorReport& report, TimePoint requested_at, TimePoint now);
+  /// @param unanswered_before number of unanswered calls when the report was requested.
+  void OnReported(const scheduling::ExecutorReport& report, int64_t unanswered_before,
+                  TimePoint now);
   /// @return the end of a lease that begins now, in milliseconds of the executor's clock; nothing
   ///   while the clock has not been read.
   std::optional<int64_t> LeaseFrom(TimePoint now) const;
@@ -75,8 +77,8 @@
   std::optional<int64_t> m_clock_ms;  // Last reading of the executor's clock.
   TimePoint m_clock_read_at{};
   int64_t m_incarnation_unix_ms = 0;
-  std::optional<TimePoint> m_reported_at;  // When the last report was requested.
-  TimePoint m_unanswered_at{};             // When a call had no response, the last time.
+  int64_t m_unanswered_calls = 0;
+  std::optional<int64_t> m_reported_after;  // Unanswered calls before the last report.
   int m_running_tasks = 0;
   std::array<Mailbox<QueuedOrder>, kRelayedOrders> m_orders;
   struct Committed {};  // Event without data.
