Decode teams, public queues and process limits

Two customers compete for pools by API key and quota, and entries have to stay within the memory of their machines. The parts that serve them share these types: teams with keys, weight and quota in the configuration, public queues, the team of a job, and the limits and bounds in the settings. The operator watcher records when the configuration was last known to be the newest one; a newer one that cannot be decoded ends that knowledge.

Tests: PlatformSettingsTest.LimitsAndBoundsAreOptional and PlatformConfigurationTest.TeamsAndPublicQueuesAreDecoded.

--- a/src/decisions/scheduling/types.h
+++ b/src/decisions/scheduling/types.h
@@ -79,6 +79,7 @@
 struct JobDefinition {
   JobId id;
   QueueName queue;
+  TeamName team;  ///< Team that submitted it; empty for jobs of public queues.
   std::string payload;
   std::vector<StepSpec> steps;
   Schedule schedule;
--- a/src/fleet/fleet_context.h
+++ b/src/fleet/fleet_context.h
@@ -37,6 +37,12 @@
   std::optional<peering::PeerKeys> relay_keys;
   double cores = 1;                  ///< CPU that this entry may use, in cores.
   double link_mbps = 1000;           ///< Rate of this entry's link, in Mbit/s.
+  int64_t memory_mb = 0;             ///< A process that uses more is killed; 0 if not stated.
+  int64_t max_descriptors = 0;       ///< Files and sockets of the process; 0 if not stated.
+  bool strict_revocation = false;    ///< Withdrawn API keys expire also on isolated entries.
+  Duration revocation_bound{};       ///< From the withdrawal of an API key to its last success.
+  Duration configuration_bound{};    ///< Time in which a configuration takes effect everywhere.
+  double quota_burst = 0.1;          ///< Share of a team's quota that may be exceeded.
   Duration executor_lease = 5s;      ///< Lease of executors; see docs/platform.md, "Ownership".
   Duration status_retention = 130s;  ///< How long the final state of a job is kept.
   Duration shutdown_grace = 6s;      ///< Time from the signal to stop to the end of the process.
@@ -93,7 +99,10 @@
   RelayClient* relays =
       nullptr;  ///< Makes the calls of platform.executors; nullptr if it has none.
 
-  Observable<Configuration> configuration;               ///< Version 0 until one has been read.
+  Observable<Configuration> configuration;  ///< Version 0 until one has been read.
+  /// When the request was sent that last showed that no newer configuration exists; empty before
+  /// the first response.
+  std::optional<TimePoint> configuration_confirmed_at;
   Observable<std::map<int64_t, MaintenanceWave>> waves;  ///< Announced waves by their numbers.
   Observable<ExecutorListing> registry;                  ///< Empty while no pool is owned.
   Observable<std::map<PoolName, scheduling::PoolDemand>> demands;  ///< Published by pool owners.
--- a/src/fleet/interfaces/announcements.h
+++ b/src/fleet/interfaces/announcements.h
@@ -16,6 +16,7 @@
 struct UnreadableRow {
   std::string key;
   std::string error;
+  bool is_configuration = false;
 };
 
 /// Configuration and maintenance waves that the operators have published.
--- a/src/fleet/interfaces/configuration.h
+++ b/src/fleet/interfaces/configuration.h
@@ -15,6 +15,15 @@
   scheduling::QueuePolicy policy;
   std::string host;
   std::string path_prefix;
+  bool is_public = false;  ///< Calls need no API key; its jobs belong to no team.
+};
+
+/// A team of callers with API keys, a share of full pools and a quota.
+struct Team {
+  TeamName name;
+  std::vector<std::string> api_keys;
+  double weight = 1;  ///< Share of a full pool, and jobs per second in all queues together.
+  scheduling::Resources quota;  ///< Of what runs on all executors; 0 in a dimension: no limit.
 };
 
 /// A pool of executors.
@@ -29,6 +38,7 @@
   int64_t version = 0;
   std::vector<QueueRoute> queues;
   std::vector<Pool> pools;
+  std::vector<Team> teams;  ///< Without teams, no call needs an API key.
   int64_t max_body_bytes = 0;
 
   /// @return the queue with this host and the longest matching path prefix, or nullptr.
--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -238,6 +238,7 @@
     encoded["interval"] = job.schedule.interval_ms;
     encoded["times"] = job.schedule.occurrences;
   }
+  if (!job.team.empty()) encoded["team"] = job.team.str();
   return bj::serialize(encoded);
 }
 
@@ -247,6 +248,7 @@
   json::ObjectReader reader(value.value());
   JobDefinition job{.id = id,
                     .queue = QueueName(reader.Text("queue")),
+                    .team = TeamName(reader.Text("team")),
                     .payload = reader.Text("payload"),
                     .accepted_unix_ms = reader.Integer("accepted", json::kClockRange)};
   job.schedule = {.first_due_unix_ms = reader.Integer("first_due", json::kClockRange),
--- a/src/fleet/watch/internal/operator_watcher.cc
+++ b/src/fleet/watch/internal/operator_watcher.cc
@@ -16,13 +16,14 @@
 
   QCoro::Task<Ret> Run() override {
     while (!m_stop.requested()) {
+      const TimePoint sent_at = m_context.timers.Now();
       auto changes = co_await m_feed.Next();
       if (!changes.ok()) {
         co_await SleepFor(m_context.timers, m_feed.retry_delay(), &m_stop);
         continue;
       }
       m_context.store_answered_at = m_context.timers.Now();
-      Apply(std::move(changes).value());
+      Apply(std::move(changes).value(), sent_at);
     }
     co_return MakeOk();
   }
@@ -30,8 +31,11 @@
   void Stop() override { m_stop.Request(); }
 
  private:
-  void Apply(OperatorChanges changes) {
+  void Apply(OperatorChanges changes, TimePoint sent_at) {
+    // A row that cannot be read is newer than the configuration in force.
+    if (changes.configuration) m_newer_unreadable = false;
     for (const UnreadableRow& row : changes.unreadable) {
+      m_newer_unreadable |= row.is_configuration;
       Log(LogLevel::kError, "announcement_unreadable", {{"key", row.key}, {"error", row.error}});
     }
     if (changes.configuration &&
@@ -42,6 +46,9 @@
            {"queues", changes.configuration->queues.size()}});
       m_context.configuration.Set(std::move(*changes.configuration));
     }
+    if (!m_newer_unreadable && m_context.configuration.Get().version > 0) {
+      m_context.configuration_confirmed_at = sent_at;
+    }
     if (changes.waves.empty()) return;
     std::map<int64_t, MaintenanceWave> waves = m_context.waves.Get();
     for (MaintenanceWave& wave : changes.waves) {
@@ -61,6 +68,7 @@
       [this](int64_t after) {
         return m_context.platform.announcements.FollowOperator(after, kFollowWait);
       }};
+  bool m_newer_unreadable = false;  // The newest configuration could not be decoded.
   StopSignal m_stop;
 };
 
--- a/src/platform/internal/announcements.cc
+++ b/src/platform/internal/announcements.cc
@@ -16,6 +16,7 @@
 using fleet::QueueRoute;
 using fleet::RegistryChanges;
 using fleet::Row;
+using fleet::Team;
 using scheduling::ExecutorDescription;
 namespace bj = boost::json;
 
@@ -36,6 +37,7 @@
   route.policy.target_latency = reader.Interval("targetLatencyMs");
   route.host = reader.Text("host");
   route.path_prefix = reader.Text("pathPrefix");
+  route.is_public = reader.Boolean("public");
   if (const bj::value* advice = reader.Find("advice")) {
     json::ObjectReader advice_reader(*advice);
     route.policy.needs_advice = true;
@@ -49,6 +51,23 @@
   return route;
 }
 
+Team DecodeTeam(const bj::value& value, std::string& error) {
+  json::ObjectReader reader(value);
+  Team team{.name = TeamName(reader.Text("name")), .weight = reader.Number("weight", 1)};
+  if (const bj::array* keys = reader.Array("apiKeys")) {
+    for (const bj::value& key : *keys) team.api_keys.emplace_back(json::AsText(key));
+  }
+  if (const bj::value* quota = reader.Find("maxCount")) {
+    json::ObjectReader quota_reader(*quota);
+    team.quota = {.cpu_millicores = quota_reader.Count("cpu"),
+                  .memory_mb = quota_reader.Count("memMb"),
+                  .gpus = quota_reader.Count("gpus")};
+    if (!quota_reader.ok() && error.empty()) error = std::string(quota_reader.ret().message());
+  }
+  if (!reader.ok() && error.empty()) error = std::string(reader.ret().message());
+  return team;
+}
+
 void Decode(std::span<const Row> rows, OperatorChanges& changes) {
   for (const Row& row : rows) {
     Ret ret;
@@ -61,7 +80,10 @@
       ret = wave.ret();
       if (wave.ok()) changes.waves.push_back(std::move(wave).value());
     }
-    if (!ret) changes.unreadable.push_back({row.key.key, std::string(ret.message())});
+    if (ret) continue;
+    changes.unreadable.push_back({.key = row.key.key,
+                                  .error = std::string(ret.message()),
+                                  .is_configuration = row.key.key == kConfigurationKey});
   }
 }
 
@@ -72,7 +94,8 @@
       changes.listed.push_back(std::move(executor).value());
       continue;
     }
-    changes.unreadable.push_back({row.key.key, std::string(executor.ret().message())});
+    changes.unreadable.push_back(
+        {.key = row.key.key, .error = std::string(executor.ret().message())});
   }
 }
 
@@ -108,6 +131,11 @@
       if (!pool_reader.ok() && error.empty()) error = std::string(pool_reader.ret().message());
     }
   }
+  if (const bj::array* tenants = reader.Array("tenants")) {
+    for (const bj::value& tenant : *tenants) {
+      configuration.teams.push_back(DecodeTeam(tenant, error));
+    }
+  }
   if (const bj::value* limits = reader.Find("limits")) {
     configuration.max_body_bytes = json::ObjectReader(*limits).Integer("maxBodyBytes");
   }
--- a/src/platform/internal/settings.cc
+++ b/src/platform/internal/settings.cc
@@ -12,6 +12,9 @@
 namespace citronferry::platform {
 namespace {
 
+constexpr double kMaxCount = 1e9;
+constexpr double kDefaultQuotaBurst = 0.1;
+
 // Reads typed values and collects all errors.
 class SettingsReader {
  public:
@@ -51,6 +54,32 @@
   }
 
   double Positive(std::string_view path) { return PositiveNumber(path); }
+  // Reads a number that is not negative, or the default if it is absent.
+  double NotNegative(std::string_view path, double absent) {
+    const auto node = m_table.at_path(path);
+    if (!node) return absent;
+    const auto value = node.value<double>();
+    if (value && *value >= 0 && std::isfinite(*value)) return *value;
+    AddError(path, "is not a number of at least 0");
+    return absent;
+  }
+  int64_t Count(std::string_view path) {
+    const double value = NotNegative(path, 0);
+    if (value <= kMaxCount) return static_cast<int64_t>(value);
+    AddError(path, "is too large");
+    return 0;
+  }
+  bool Boolean(std::string_view path) {
+    const auto node = m_table.at_path(path);
+    if (node && !node.is_boolean()) AddError(path, "is not true or false");
+    return node.value_or(false);
+  }
+  Duration OptionalMilliseconds(std::string_view path) {
+    const double seconds = NotNegative(path, 0) * ToSeconds(1ms);
+    if (seconds <= ToSeconds(json::kMaxInterval)) return FromSeconds(seconds);
+    AddError(path, "is longer than a year");
+    return {};
+  }
   Duration Seconds(std::string_view path) { return Interval(path, 1s); }
   Duration Milliseconds(std::string_view path) { return Interval(path, 1ms); }
 
@@ -110,6 +139,12 @@
   // cpuShare is a share of one core, and cores is how many times as fast as a usual core it is.
   settings.cores = reader.Positive("limits.cpuShare") * reader.Positive("limits.cores");
   settings.link_mbps = reader.Positive("limits.linkMbps");
+  settings.memory_mb = reader.Count("limits.memoryMb");
+  settings.max_descriptors = reader.Count("limits.maxFds");
+  settings.strict_revocation = reader.Boolean("bounds.strictRevoke");
+  settings.revocation_bound = reader.OptionalMilliseconds("bounds.revokeMs");
+  settings.configuration_bound = reader.OptionalMilliseconds("bounds.configApplyMs");
+  settings.quota_burst = reader.NotNegative("bounds.quotaBurst", kDefaultQuotaBurst);
   settings.relay_listener = {.address = settings.ip, .port = reader.Port("portRange[0]")};
   if (Ret ret = reader.ret(); !ret) return ret;
   return settings;
--- a/src/platform/settings.h
+++ b/src/platform/settings.h
@@ -33,6 +33,12 @@
   Duration stop_grace{};              ///< Maximum time that a task takes to stop.
   double cores = 0;                   ///< CPU cores that the entry may use.
   double link_mbps = 0;               ///< Rate of the entry's link, in Mbit/s.
+  int64_t memory_mb = 0;              ///< A process that uses more is killed; 0 if not stated.
+  int64_t max_descriptors = 0;        ///< Files and sockets of the process; 0 if not stated.
+  bool strict_revocation = false;     ///< Withdrawn API keys expire also on isolated entries.
+  Duration revocation_bound{};        ///< From the withdrawal of a key to its last success.
+  Duration configuration_bound{};     ///< Time in which a configuration takes effect everywhere.
+  double quota_burst = 0;             ///< Share of a quota that may be exceeded.
   document::Endpoint relay_listener;  ///< Where other entries connect to use this one as a relay.
 };
 
--- a/src/platform/tests/platform_test.cc
+++ b/src/platform/tests/platform_test.cc
@@ -47,6 +47,49 @@
   EXPECT_FALSE(ParseNodeSettings("nodeName = ").ok());
 }
 
+// Guards against limits of the process that are taken for others or for none: they are optional,
+// but must not be malformed.
+TEST(PlatformSettingsTest, LimitsAndBoundsAreOptional) {
+  const auto absent = ParseNodeSettings(kSettings);
+  ASSERT_TRUE(absent.ok());
+  EXPECT_EQ(absent->memory_mb, 0);
+  EXPECT_FALSE(absent->strict_revocation);
+  std::string text(kSettings);
+  text.replace(text.find("cores = 1"), 9, "cores = 1\nmemoryMb = 160\nmaxFds = 4100");
+  text.replace(text.find("graceS = 6"), 10,
+               "graceS = 6\nstrictRevoke = true\nrevokeMs = 5000\nconfigApplyMs = 3000");
+  const auto present = ParseNodeSettings(text);
+  ASSERT_TRUE(present.ok()) << present.ret().message();
+  EXPECT_EQ(present->memory_mb, 160);
+  EXPECT_EQ(present->max_descriptors, 4100);
+  EXPECT_TRUE(present->strict_revocation);
+  EXPECT_EQ(present->revocation_bound, 5s);
+  EXPECT_EQ(present->configuration_bound, 3s);
+  text.replace(text.find("strictRevoke = true"), 19, "strictRevoke = 1   ");
+  EXPECT_FALSE(ParseNodeSettings(text).ok());
+}
+
+// Guards against keys, quotas or public queues that are lost while a configuration is decoded.
+TEST(PlatformConfigurationTest, TeamsAndPublicQueuesAreDecoded) {
+  const auto configuration = DecodeConfiguration(
+      R"({"version":7,"routes":[{"name":"r1","host":"h","pathPrefix":"/a/","backend":"p",)"
+      R"("public":true},{"name":"r2","host":"h","pathPrefix":"/b/","backend":"p"}],)"
+      R"("tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1,"weight":163,)"
+      R"("maxCount":{"cpu":18206281,"memMb":29307068,"gpus":0}},{"name":"t2"}]})");
+  ASSERT_TRUE(configuration.ok()) << configuration.ret().message();
+  EXPECT_TRUE(configuration->queues[0].is_public);
+  EXPECT_FALSE(configuration->queues[1].is_public);
+  ASSERT_EQ(configuration->teams.size(), 2u);
+  const fleet::Team& team = configuration->teams[0];
+  EXPECT_EQ(team.name, TeamName("t1"));
+  EXPECT_EQ(team.api_keys, (std::vector<std::string>{"k1", "k2"}));
+  EXPECT_EQ(team.weight, 163);
+  EXPECT_EQ(team.quota.cpu_millicores, 18206281);
+  EXPECT_EQ(team.quota.memory_mb, 29307068);
+  EXPECT_EQ(configuration->teams[1].weight, 1);
+  EXPECT_EQ(configuration->teams[1].quota, scheduling::Resources{});
+}
+
 TEST(PlatformTaskNameTest, NamesRoundTrip) {
   const scheduling::TaskId task{
       .job = JobId("5c0e7a21d94b36f8"), .occurrence = 0, .step = 1, .index = 17};
