Hand pools over to a chosen successor with a record of what may run

A successor started no task of an inherited job before every executor in its links had reported or 5.3 s had passed, links of executors that had left stayed for 5 s, releases were noticed by a poll, and ordered maintenance was drained for and ordered once more.

The releasing owner now writes which runs may exist where and which maintenance it has ordered, in the transaction that releases the pool, and names a successor, which sees the release through a feed and bids at once. Only tasks of the record on silent executors wait, for the rest of their lease. Links of executors that left and run nothing are removed at once. An accepted maintenance order without effect ends the operation. Steps that cannot be placed make the pool count as full for steps of their own kind only.

--- a/src/decisions/scheduling/internal/commit.cc
+++ b/src/decisions/scheduling/internal/commit.cc
@@ -104,7 +104,10 @@
   for (const auto& [id, progress] : batch.progress) m_dirty_jobs.insert(id);
   for (const LinkRecord& link : batch.links) m_dirty_links.insert(link.executor);
   for (const SettledEnds& ends : batch.settled) m_unsettled.insert(ends.executor);
-  for (const ExecutorId& id : batch.removed_links) m_removed_links.insert(id);
+  for (const ExecutorId& id : batch.removed_links) {
+    const ExecutorState* executor = FindExecutor(id);
+    if (!executor || !executor->listed) m_removed_links.insert(id);
+  }
   for (const JobId& id : batch.removed_jobs) m_removed_jobs.insert(id);
 }
 
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -1,6 +1,7 @@
 #include "decisions/scheduling/pool_scheduler.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace citronferry::scheduling {
@@ -11,11 +12,42 @@
 // A registry entry that was lost while the store was unavailable returns within two seconds of the
 // store's recovery.
 constexpr Duration kUnlistedGracePeriod = 5s;
-// Number of steps without capacity, in rank order, after which the pool is considered full.
+// Number of steps without capacity, in rank order, after which the pool is considered full for
+// steps that may use the same executors.
 constexpr int kMaxUnplacedSteps = 40;
+// Bounds the work of a planning round in which steps of many kinds cannot be placed.
+constexpr int kMaxUnplacedStepsOfAllKinds = 400;
 
 }  // namespace
 
+/// Counts the steps of a planning round that could not be placed, by what limits the executors
+/// that they may use. Steps that wait for the only executor with a label, or for executors without
+/// another task of their step, do not show that the pool is full for others.
+class PoolScheduler::UnplacedSteps {
+ public:
+  /// @return whether a step like this would not find capacity either.
+  bool IsFull(const StepSpec& spec, bool needs_ticket) const {
+    if (m_total >= kMaxUnplacedStepsOfAllKinds) return true;
+    const auto found = m_counts.find(KindOf(spec, needs_ticket));
+    return found != m_counts.end() && found->second >= kMaxUnplacedSteps;
+  }
+  void Count(const StepSpec& spec, bool needs_ticket) {
+    ++m_counts[KindOf(spec, needs_ticket)];
+    ++m_total;
+  }
+  bool empty() const { return m_total == 0; }
+
+ private:
+  using Kind = std::tuple<std::string_view, bool, bool>;
+
+  static Kind KindOf(const StepSpec& spec, bool needs_ticket) {
+    return {spec.required_label, spec.max_per_executor > 0, needs_ticket};
+  }
+
+  std::map<Kind, int> m_counts;
+  int m_total = 0;
+};
+
 /// A job with tasks to place, and its rank.
 struct PoolScheduler::PlanningJob {
   Job* job = nullptr;
@@ -87,7 +119,10 @@
   executor.info = info;
   executor.info.incarnation_unix_ms = incarnation;
   if (!executor.listed_at) executor.listed_at = now;
-  if (!executor.link_durable) m_dirty_links.insert(info.id);
+  if (!executor.link_durable) {
+    m_dirty_links.insert(info.id);
+    m_removed_links.erase(info.id);
+  }
   if (started_leaving) {
     Note("executor_leaving", {}, 0, info.id);
     // The executor shuts down soon: long-running tasks are moved while the others may complete.
@@ -204,16 +239,21 @@
   for (auto entry = m_executors.begin(); entry != m_executors.end();) {
     ExecutorState& executor = entry->second;
     if (!executor.listed && !executor.unlisted_since) executor.unlisted_since = now;
-    const bool ended = !executor.listed && executor.runs.empty() &&
-                       (executor.reported || !executor.inherited) &&
-                       now - *executor.unlisted_since > kUnlistedGracePeriod;
-    if (!ended) {
+    const bool runs_nothing =
+        !executor.listed && executor.runs.empty() && (executor.reported || !executor.inherited);
+    if (!runs_nothing) {
       ++entry;
       continue;
     }
+    // A successor has nothing to ask this executor. If it is listed again, its link is written
+    // anew.
     m_dirty_links.erase(entry->first);
+    if (std::exchange(executor.link_durable, false)) m_removed_links.insert(entry->first);
+    if (now - *executor.unlisted_since <= kUnlistedGracePeriod) {
+      ++entry;
+      continue;
+    }
     m_unsettled.erase(entry->first);
-    if (executor.link_durable) m_removed_links.insert(entry->first);
     entry = m_executors.erase(entry);
   }
 }
@@ -262,7 +302,7 @@
   // A copy is needed if no executor of a run responds.
   return std::none_of(task.runs.begin(), task.runs.end(), [this](const Run& run) {
     const auto found = m_executors.find(run.executor);
-    return found == m_executors.end() || found->second.responding;
+    return found == m_executors.end() || found->second.responding || !found->second.contacted;
   });
 }
 
@@ -296,7 +336,7 @@
   m_waiting_cores = 0;
   std::vector<Candidate> candidates = MakeCandidates(now);
   Placer placer(candidates, now);
-  int unplaced_steps = 0;
+  UnplacedSteps unplaced;
   for (const PlanningJob& entry : RankJobs(now)) {
     Job& job = *entry.job;
     for (auto& [number, occurrence] : job.occurrences()) {
@@ -305,13 +345,16 @@
         if (!Job::IsReady(occurrence.steps[step])) continue;
         // A previous owner may have started tasks on an executor that has not reported yet.
         if (job.inherited() && TakeoverUnresolved(spec)) continue;
-        if (unplaced_steps >= kMaxUnplacedSteps && !spec.long_running) continue;
-        if (!PlaceStep(job, number, static_cast<int>(step), placer, now)) ++unplaced_steps;
+        const bool needs_ticket = PolicyOf(job).needs_advice;
+        if (!spec.long_running && unplaced.IsFull(spec, needs_ticket)) continue;
+        if (!PlaceStep(job, number, static_cast<int>(step), placer, now)) {
+          unplaced.Count(spec, needs_ticket);
+        }
       }
     }
   }
   m_cost = nullptr;
-  m_wait_for_link = unplaced_steps > 0 ? m_budget.time_until_available() : Duration::zero();
+  m_wait_for_link = !unplaced.empty() ? m_budget.time_until_available() : Duration::zero();
   return std::exchange(m_orders, {});
 }
 
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -35,6 +35,10 @@
   return found == task->runs.end() ? nullptr : &*found;
 }
 
+const Run* PoolScheduler::FindRun(const TaskId& id, int64_t run, const ExecutorId& executor) const {
+  return const_cast<PoolScheduler*>(this)->FindRun(id, run, executor);
+}
+
 void PoolScheduler::RemoveRun(const TaskId& id, int64_t run, ExecutorState& executor) {
   const auto ref =
       std::find_if(executor.runs.begin(), executor.runs.end(),
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -16,6 +16,7 @@
 #include "base/time.h"
 #include "decisions/scheduling/duration_model.h"
 #include "decisions/scheduling/executor_state.h"
+#include "decisions/scheduling/handover.h"
 #include "decisions/scheduling/job.h"
 #include "decisions/scheduling/placement.h"
 #include "decisions/scheduling/ranking.h"
@@ -122,6 +123,11 @@
   void AddJob(std::shared_ptr<const JobDefinition> definition, const JobProgress* progress,
               TimePoint accepted_at, bool inherited);
   void CancelJob(const JobId& id, TimePoint now);
+  /// @return what may run in the pool. The owner must have sent its last order before.
+  PoolHandover MakeHandover(TimePoint now) const;
+  /// Takes over what the previous owner handed over when it released the pool, so that no task has
+  /// to wait for executors that run nothing. Follows InheritExecutor and AddJob.
+  void InheritHandover(const PoolHandover& handover);
 
   /// @return whether a run is still to be started; false if it was given up or stopped while its
   ///   order was waiting.
@@ -215,6 +221,7 @@
 
  private:
   struct PlanningJob;
+  class UnplacedSteps;
 
   /// @return the task that an executor's report names, or nullptr if it is unknown or its
   ///   occurrence is finished.
@@ -239,6 +246,9 @@
 
   Job* FindJobMutable(const JobId& id);
   Run* FindRun(const TaskId& task, int64_t run, const ExecutorId& executor);
+  const Run* FindRun(const TaskId& task, int64_t run, const ExecutorId& executor) const;
+  /// Adds a run of the previous owner, which is confirmed or removed by the executor's next report.
+  void RestoreRun(ExecutorState& executor, const HandedOverRun& run);
   /// Removes a run from its task and frees its resources.
   void RemoveRun(const TaskId& task, int64_t run, ExecutorState& executor);
   /// Handles the restart of an executor under its id. Runs that the previous incarnation has listed
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -202,8 +202,19 @@
     return id;
   }
 
+  /// Makes the owner release the pool to a new one, with a record of what may run in it.
+  /// @return whether that was possible; the last commit needs the store.
+  bool HandOver() {
+    if (store_unavailable || links_delayed || owner_paused) return false;
+    while (m_scheduler->has_dirty()) Commit();
+    const PoolHandover handover = m_scheduler->MakeHandover(m_now);
+    TakeOver(&handover);
+    return true;
+  }
+
   /// Makes a new owner take over the pool; the previous one sends no more orders.
-  void TakeOver() {
+  /// @param handover what the previous owner handed over, or nullptr if it was killed.
+  void TakeOver(const PoolHandover* handover = nullptr) {
     ++m_epoch;
     m_scheduler =
         std::make_unique<PoolScheduler>(SchedulerOptions{.epoch = m_epoch, .taken_over_at = m_now});
@@ -220,6 +231,7 @@
                           m_now, true);
     }
     for (const JobId& id : m_store.cancelled) m_scheduler->CancelJob(id, m_now);
+    if (handover) m_scheduler->InheritHandover(*handover);
     for (auto& [id, executor] : m_executors) {
       if (!listed(id)) continue;
       m_registry.emplace(id, executor.info());
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -482,6 +482,21 @@
   EXPECT_GT(held->occurrences().begin()->first, first) << "later occurrences are never opened";
 }
 
+// Guards against a pool that is taken for full because of steps that fit nowhere: 104 to 108 jobs a
+// run were never started while 40 steps waited for a lost executor, the only one with their label.
+TEST(PoolSchedulerTest, StepsThatFitNowhereDoNotKeepOthersFromRunning) {
+  FakePool pool(2);
+  pool.Run(100ms);
+  for (int i = 0; i < 60; ++i) {
+    StepSpec step = MakeStep(1, 100, 10ms);
+    step.required_label = "lost";
+    pool.Submit(MakeJob("lost" + std::to_string(i), {step}));
+  }
+  pool.Submit(MakeJob("other", {MakeStep(1, 4000, 300ms)}));
+  EXPECT_TRUE(pool.RunUntilFinal(JobId("other"), 2s));
+  EXPECT_EQ(pool.State(JobId("lost0")), JobState::kQueued);
+}
+
 // Guards against commits that grow with the number of executors: each end rewrote the link of its
 // executor, which took half of the bytes that an owner on a thin link may send.
 TEST(PoolSchedulerTest, EndsAreAcknowledgedWithoutRewritingLinks) {
--- a/src/decisions/scheduling/tests/scheduling_property_test.cc
+++ b/src/decisions/scheduling/tests/scheduling_property_test.cc
@@ -10,8 +10,8 @@
 namespace {
 
 /// A random schedule of jobs and faults: unreachable and restarted executors, lost responses,
-/// starts that are carried out late, a stale registry, a paused or replaced owner, an unavailable
-/// store.
+/// starts that are carried out late, a stale registry, an owner that is paused, replaced or hands
+/// over, an unavailable store.
 class FaultSchedule {
  public:
   explicit FaultSchedule(uint64_t seed) : m_random(seed), m_pool(5) { m_pool.call_timeout = 500ms; }
@@ -97,6 +97,9 @@
       case 9:
         m_pool.registry_lags = !m_pool.registry_lags;
         break;
+      case 10:
+        m_pool.HandOver();
+        break;
       default:
         if (Draw(15) == 0) ClearFaults();
     }
@@ -160,8 +163,8 @@
 };
 
 // Guards against tasks that run twice at a time, executors over capacity, final states that change,
-// and lost jobs. Faults: takeovers, restarted and unreachable executors, lost responses, an
-// unavailable store. The environment variable CITRONFERRY_SCHEDULES sets the number of schedules
+// and lost jobs. Faults: takeovers, handovers, restarted and unreachable executors, lost responses,
+// an unavailable store. The environment variable CITRONFERRY_SCHEDULES sets the number of schedules
 // (150 by default), CITRONFERRY_SEED the first seed (1).
 TEST(SchedulingPropertyTest, FaultSchedulesKeepTheInvariants) {
   const auto read = [](const char* name, uint64_t fallback) {
--- a/src/fleet/fleet_context.h
+++ b/src/fleet/fleet_context.h
@@ -72,6 +72,7 @@
   std::string incarnation;  ///< Process of the owning entry.
   std::string relay_key;    ///< Public key of the owning entry in Z85; see FleetOptions.
   bool loading = false;     ///< The owner has not read the state of the pool yet.
+  EntryId successor;        ///< After a release: the entry that bids first; empty for any.
   int64_t version = 0;      ///< Version of the row; 0 if there is no row.
   TimePoint changed_at{};   ///< When this entry saw the row change.
 };
@@ -83,6 +84,7 @@
   std::string public_key;  ///< In Z85; empty if connections are not authenticated.
   double cores = 0;
   double link_mbps = 0;
+  int64_t announced_version = 0;  ///< Version of its row, which it writes at its start.
 
   friend bool operator==(const EntryRecord&, const EntryRecord&) = default;
 };
--- a/src/fleet/internal/fleet_node.cc
+++ b/src/fleet/internal/fleet_node.cc
@@ -33,6 +33,7 @@
   std::vector<ChildSpec> children;
   children.push_back(MakeOperatorWatcher(context));
   children.push_back(MakeOwnerWatcher(context));
+  children.push_back(MakeReleaseWatcher(context));
   children.push_back(MakeRegistryWatcher(context));
   children.push_back(MakeDemandWatcher(context));
   children.push_back(MakeEntryWatcher(context));
--- a/src/fleet/pool/internal/maintenance_coordinator.cc
+++ b/src/fleet/pool/internal/maintenance_coordinator.cc
@@ -16,6 +16,8 @@
 // Reading the list of instances is charged; it shows when instances are back in service.
 constexpr Duration kListInterval = 700ms;
 constexpr Duration kCheckInterval = 1500ms;
+// A list that is read this long after an order shows its effect: maintenance takes seconds.
+constexpr Duration kUnchangedAfter = 1s;
 
 }  // namespace
 
@@ -31,20 +33,25 @@
   StopSignal& ended = m_owner.ended();
   while (!ended.requested()) {
     AddNewWaves();
-    const TimePoint now = m_context.timers.Now();
-    if (m_waves.empty() || now < m_first_order_at || !m_owner.may_order()) {
+    const bool may_give_orders = m_context.timers.Now() >= m_first_order_at;
+    const bool has_work = !m_operations.empty() || (!m_waves.empty() && may_give_orders);
+    if (!has_work || !m_owner.may_order()) {
       co_await SleepFor(m_context.timers, kIdleInterval, &ended);
       continue;
     }
     co_await Refresh();
     if (ended.requested()) co_return;
     for (auto& [number, open] : m_waves) {
-      if (open.progress_loaded && m_directory.loaded()) StartDrains(open);
+      if (may_give_orders && open.progress_loaded && m_directory.loaded()) StartDrains(open);
     }
     std::vector<InstanceId> in_progress;
     for (const auto& [instance, operation] : m_operations) in_progress.push_back(instance);
     for (const InstanceId& instance : in_progress) {
-      co_await Advance(instance);
+      if (m_operations.at(instance).phase == Phase::kOrdered) {
+        co_await FinishReturned(instance);
+      } else {
+        co_await Advance(instance);
+      }
       if (ended.requested()) co_return;
     }
     co_await FinishWaves();
@@ -52,6 +59,26 @@
   }
 }
 
+std::vector<OrderedMaintenance> MaintenanceCoordinator::ordered() const {
+  std::vector<OrderedMaintenance> ordered;
+  for (const auto& [instance, operation] : m_operations) {
+    if (operation.phase != Phase::kOrdered) continue;
+    ordered.push_back(
+        {.wave = operation.wave, .instance = instance, .executor = operation.executor});
+  }
+  return ordered;
+}
+
+void MaintenanceCoordinator::Resume(std::span<const OrderedMaintenance> maintenance) {
+  for (const OrderedMaintenance& ordered : maintenance) {
+    m_operations.emplace(ordered.instance, Operation{.wave = ordered.wave,
+                                                     .executor = ordered.executor,
+                                                     .phase = Phase::kOrdered,
+                                                     .slot_acquired = true,
+                                                     .ordered_at = m_context.timers.Now()});
+  }
+}
+
 void MaintenanceCoordinator::AddNewWaves() {
   for (const auto& [number, wave] : m_context.waves.Get()) {
     if (m_finished_waves.contains(number) || m_waves.contains(number)) continue;
@@ -132,26 +159,40 @@
   }
 }
 
+bool MaintenanceCoordinator::IsBack(const Operation& operation, const Instance& instance) const {
+  if (instance.state != InstanceState::kUp || m_directory.read_at() <= operation.ordered_at) {
+    return false;
+  }
+  // An instance that is off has no executor after its maintenance either.
+  if (operation.executor.empty()) return true;
+  if (instance.executor.empty()) return false;
+  // An order for maintenance that had been done before is accepted too, and changes nothing.
+  return instance.executor != operation.executor ||
+         m_directory.read_at() - operation.ordered_at >= kUnchangedAfter;
+}
+
+QCoro::Task<void> MaintenanceCoordinator::FinishReturned(InstanceId instance) {
+  const Operation operation = m_operations.at(instance);
+  const Instance* listed = m_directory.Find(instance);
+  if (listed && !IsBack(operation, *listed)) co_return;
+  const scheduling::ExecutorId executor = listed ? listed->executor : scheduling::ExecutorId();
+  const Ret released = co_await m_slots.Release(operation.wave, instance, true);
+  if (!released.ok()) co_return;
+  Log(LogLevel::kInfo, "maintenance_done",
+      {{"pool", m_owner.pool().view()},
+       {"wave", operation.wave},
+       {"instance", instance.view()},
+       {"executor", executor.view()},
+       {"previous_executor", operation.executor.view()}});
+  const auto open = m_waves.find(operation.wave);
+  if (open != m_waves.end()) open->second.progress.done.insert(instance);
+  m_operations.erase(instance);
+  if (!executor.empty()) m_owner.Readmit(executor);
+}
+
 QCoro::Task<void> MaintenanceCoordinator::Advance(InstanceId instance) {
+  if (m_context.timers.Now() < m_first_order_at) co_return;
   Operation& operation = m_operations.at(instance);
-  const Instance* listed = m_directory.Find(instance);
-  if (operation.phase == Phase::kOrdered) {
-    // An instance that is off has no executor after its maintenance either.
-    const bool back = listed && listed->state == InstanceState::kUp &&
-                      (operation.executor.empty() ||
-                       (!listed->executor.empty() && listed->executor != operation.executor)) &&
-                      m_directory.read_at() > operation.ordered_at;
-    if (listed && !back) co_return;
-    const int64_t wave = operation.wave;
-    const Ret released = co_await m_slots.Release(wave, instance, true);
-    if (!released.ok()) co_return;
-    Log(LogLevel::kInfo, "maintenance_done",
-        {{"pool", m_owner.pool().view()}, {"wave", wave}, {"instance", instance.view()}});
-    const auto open = m_waves.find(wave);
-    if (open != m_waves.end()) open->second.progress.done.insert(instance);
-    m_operations.erase(instance);
-    co_return;
-  }
   if (operation.executor.empty()) {
     co_await OrderMaintenance(instance);
     co_return;
--- a/src/fleet/pool/internal/maintenance_coordinator.h
+++ b/src/fleet/pool/internal/maintenance_coordinator.h
@@ -3,12 +3,14 @@
 
 #include <map>
 #include <set>
+#include <span>
 #include <vector>
 
 #include "decisions/scheduling/drain_planner.h"
 #include "fleet/fleet_context.h"
 #include "fleet/pool/internal/instance_directory.h"
 #include "fleet/pool/internal/maintenance_slots.h"
+#include "fleet/tables.h"
 
 namespace citronferry::fleet {
 
@@ -24,6 +26,11 @@
   QCoro::Task<void> Run();
   /// @return whether an instance is being drained or maintained.
   bool IsInMaintenance(const InstanceId& instance) const { return m_operations.contains(instance); }
+  /// @return the maintenance that has been accepted and from which the instance is not back yet.
+  std::vector<OrderedMaintenance> ordered() const;
+  /// Continues the maintenance that the previous owner has ordered. Ordered again, it would need
+  /// another drain of an instance that is back.
+  void Resume(std::span<const OrderedMaintenance> maintenance);
 
  private:
   enum class Phase {
@@ -53,8 +60,12 @@
   void AddNewWaves();
   /// Chooses instances of a wave and starts draining them.
   void StartDrains(OpenWave& open);
-  /// Takes the next step of an operation, if it is possible.
+  /// Takes the next step of an operation that has not been ordered yet, if it is possible.
   QCoro::Task<void> Advance(InstanceId instance);
+  /// Ends an operation once its instance is back in service.
+  QCoro::Task<void> FinishReturned(InstanceId instance);
+  /// @return whether the instance of an operation that was ordered is back in service.
+  bool IsBack(const Operation& operation, const Instance& instance) const;
   /// Acquires a slot for a drained instance and orders its maintenance.
   QCoro::Task<void> OrderMaintenance(InstanceId instance);
   /// Publishes the completion of the waves in which no instance is left.
--- a/src/fleet/pool/internal/owner_elector.cc
+++ b/src/fleet/pool/internal/owner_elector.cc
@@ -2,6 +2,7 @@
 
 #include <random>
 
+#include "decisions/scheduling/handover.h"
 #include "fleet/pool/internal/pool_owner.h"
 #include "fleet/tables.h"
 #include "fleet/watch/watchers.h"
@@ -13,10 +14,12 @@
 constexpr Duration kVacancyPollInterval = 100ms;
 // An entry that owns pools delays its bid, so that entries with fewer pools can bid first.
 constexpr Duration kDelayPerOwnedPool = 300ms;
-// An entry with less than a quarter of a core delays its bid, so that larger ones can bid first: as
-// the owner of 85 executors it would run out of CPU, and leases would expire.
-constexpr double kMinCoresForPromptBid = 0.25;
+// An entry with less than scheduling::kMinOwnerCores delays its bid, so that larger ones can bid
+// first.
 constexpr Duration kSmallEntryDelay = 1s;
+// How long other entries leave a released pool to the successor that its owner has chosen. It
+// notices the release within milliseconds.
+constexpr Duration kSuccessorHeadStart = 700ms;
 constexpr Duration kMaxJitter = 80ms;
 constexpr Duration kTakeOverTimeout = 1s;
 
@@ -33,37 +36,52 @@
 bool OwnerElector::IsVacant() const {
   if (!m_context.owners_seen_since) return false;
   const auto found = m_context.owners.find(m_pool);
-  if (found == m_context.owners.end() || found->second.holder.empty()) return true;
+  if (found == m_context.owners.end()) return true;
   const OwnerView& owner = found->second;
+  if (owner.holder.empty()) {
+    return owner.successor.empty() || IsSuccessor() ||
+           m_context.timers.Now() - owner.changed_at >= kSuccessorHeadStart;
+  }
   // The row was written by an earlier process, or by a bid whose response was lost.
   if (owner.holder == m_context.options.name) return true;
   const TimePoint unchanged_since = std::max(owner.changed_at, *m_context.owners_seen_since);
   return m_context.timers.Now() - unchanged_since >= kVacancyTimeout;
 }
 
-QCoro::Task<std::optional<int64_t>> OwnerElector::WaitForVacancy() {
+bool OwnerElector::IsSuccessor() const {
+  const auto found = m_context.owners.find(m_pool);
+  return found != m_context.owners.end() && found->second.holder.empty() &&
+         found->second.successor.view() == m_context.options.name;
+}
+
+Duration OwnerElector::BidDelay() const {
+  if (IsSuccessor()) return Duration::zero();
+  const bool is_small = m_context.options.cores < scheduling::kMinOwnerCores;
+  return RandomJitter() + kDelayPerOwnedPool * m_context.owned_pools +
+         (is_small ? kSmallEntryDelay : Duration::zero());
+}
+
+QCoro::Task<std::optional<OwnerView>> OwnerElector::WaitForVacancy() {
   while (!m_stop.requested()) {
     if (!IsVacant()) {
       co_await SleepFor(m_context.timers, kVacancyPollInterval, &m_stop);
       continue;
     }
     const int owned_before = m_context.owned_pools;
-    const Duration delay =
-        RandomJitter() + kDelayPerOwnedPool * owned_before +
-        (m_context.options.cores < kMinCoresForPromptBid ? kSmallEntryDelay : Duration::zero());
-    co_await SleepFor(m_context.timers, delay, &m_stop);
+    const Duration delay = BidDelay();
+    if (delay > Duration::zero()) co_await SleepFor(m_context.timers, delay, &m_stop);
     if (m_stop.requested()) break;
     if (m_context.owned_pools > owned_before) continue;
     if (IsVacant()) {
       const auto found = m_context.owners.find(m_pool);
-      co_return found == m_context.owners.end() ? 0 : found->second.version;
+      co_return found == m_context.owners.end() ? OwnerView() : found->second;
     }
   }
   co_return std::nullopt;
 }
 
 QCoro::Task<Ret> OwnerElector::Run() {
-  const std::optional<int64_t> replaced = co_await WaitForVacancy();
+  const std::optional<OwnerView> replaced = co_await WaitForVacancy();
   if (!replaced) co_return MakeOk();
   const TimePoint asked_at = m_context.timers.Now();
   const RowKey key = OwnerKey(m_pool);
@@ -71,7 +89,7 @@
                            .incarnation = m_context.options.incarnation,
                            .relay_key = PublicRelayKey(m_context.options),
                            .loading = true};
-  Transaction bid{.conditions = {{.key = key, .version = *replaced}},
+  Transaction bid{.conditions = {{.key = key, .version = replaced->version}},
                   .puts = {{.key = key, .value = EncodeOwner(record)}}};
   const TransactionResult result =
       co_await m_context.platform.rows.Transact(std::move(bid), kTakeOverTimeout);
@@ -86,13 +104,21 @@
     co_return MakeOk();
   }
   Log(LogLevel::kInfo, "pool_taken_over",
-      {{"pool", m_pool.view()}, {"epoch", result.version}, {"replaced_version", *replaced}});
+      {{"pool", m_pool.view()},
+       {"epoch", result.version},
+       {"replaced_version", replaced->version},
+       {"released", replaced->holder.empty()},
+       {"noticed_ms_ago", ToMilliseconds(asked_at - replaced->changed_at)}});
   m_context.owners[m_pool] = {.holder = m_context.options.name,
                               .incarnation = m_context.options.incarnation,
                               .version = result.version,
                               .changed_at = m_context.timers.Now()};
   ++m_context.owned_pools;
-  PoolOwner owner(m_context, m_pool, {.epoch = result.version, .acquired_at = asked_at});
+  Ownership ownership{.epoch = result.version, .acquired_at = asked_at};
+  if (replaced->holder.empty() && replaced->version != 0) {
+    ownership.released_version = replaced->version;
+  }
+  PoolOwner owner(m_context, m_pool, ownership);
   const Ret ret = co_await owner.Run(m_stop);
   --m_context.owned_pools;
   Log(LogLevel::kInfo, "pool_given_up",
--- a/src/fleet/pool/internal/owner_elector.h
+++ b/src/fleet/pool/internal/owner_elector.h
@@ -20,11 +20,15 @@
 
  private:
   /// Waits until the pool is vacant and this entry may bid.
-  /// @return the version of the owner row to replace, or nothing after a stop.
-  QCoro::Task<std::optional<int64_t>> WaitForVacancy();
+  /// @return the owner to replace, as last observed, or nothing after a stop.
+  QCoro::Task<std::optional<OwnerView>> WaitForVacancy();
   /// @return whether this entry may bid: there is no owner, or it has not renewed for
   ///   kVacancyTimeout, or it is this entry.
   bool IsVacant() const;
+  /// @return whether the previous owner has released the pool to this entry.
+  bool IsSuccessor() const;
+  /// @return how long this entry leaves a vacant pool to those that should rather own it.
+  Duration BidDelay() const;
 
   FleetContext& m_context;
   PoolName m_pool;
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -113,7 +113,7 @@
   m_registry_subscription = {};
   m_configuration_subscription = {};
   if (m_context.relays) m_context.relays->SetRelays(m_pool, {});
-  if (stop.requested()) co_await m_committer->ReleaseOwnership();
+  if (stop.requested()) co_await Release();
   const Ret joined = co_await m_tasks.Join(m_context.timers, kStopDeadline);
   if (!joined.ok()) {
     Log(LogLevel::kError, "pool_tasks_left",
@@ -131,7 +131,48 @@
   m_committer_ended.Set(true);
 }
 
+QCoro::Task<void> PoolOwner::Release() {
+  const TimePoint start = m_context.timers.Now();
+  const EntryId successor = ChooseSuccessor();
+  std::function<std::vector<std::string>()> handover = [this] { return MakeHandoverRows(); };
+  co_await m_committer->ReleaseOwnership(successor, std::move(handover));
+  Log(LogLevel::kInfo, "pool_released",
+      {{"pool", m_pool.view()},
+       {"epoch", m_ownership.epoch},
+       {"successor", successor.view()},
+       {"took_ms", ToMilliseconds(m_context.timers.Now() - start)}});
+}
+
+std::vector<std::string> PoolOwner::MakeHandoverRows() const {
+  // What an owner has not read, or has been fenced from, it does not know.
+  if (!m_loaded || m_scheduler->fenced()) return {};
+  const HandoverRecord record{.pool = m_scheduler->MakeHandover(m_context.timers.Now()),
+                              .maintenance = m_maintenance->ordered()};
+  std::vector<std::string> rows = EncodeHandover(record);
+  if (rows.empty()) {
+    Log(LogLevel::kWarning, "handover_too_large",
+        {{"pool", m_pool.view()}, {"executors", record.pool.executors.size()}});
+  }
+  return rows;
+}
+
+EntryId PoolOwner::ChooseSuccessor() const {
+  std::map<std::string_view, int> owned;
+  for (const auto& [pool, owner] : m_context.owners) ++owned[owner.holder];
+  std::vector<scheduling::SuccessorCandidate> candidates;
+  for (const auto& [id, entry] : m_context.entries.Get()) {
+    if (id.view() == m_context.options.name) continue;
+    const auto pools = owned.find(id.view());
+    candidates.push_back({.entry = id,
+                          .capacity = {.cores = entry.cores, .link_mbps = entry.link_mbps},
+                          .owned_pools = pools == owned.end() ? 0 : pools->second,
+                          .announced_version = entry.announced_version});
+  }
+  return scheduling::ChooseSuccessor(candidates).value_or(EntryId());
+}
+
 void PoolOwner::StartWork() {
+  m_loaded = true;
   m_committer->SetLoaded();
   m_configuration_subscription =
       m_context.configuration.Subscribe([this](const Configuration&) { ApplyConfiguration(); });
@@ -155,6 +196,7 @@
   if (!progress.ok()) co_return progress.ret();
   const auto jobs = co_await ReadPartitions(rows, JobsTable(m_pool), JobPartitions(m_pool));
   if (!jobs.ok()) co_return jobs.ret();
+  const auto handover = co_await LoadHandover();
   for (const Row& row : links->rows) {
     const auto link = DecodeLink(scheduling::ExecutorId(row.key.key), row.value);
     if (link.ok()) {
@@ -189,6 +231,10 @@
   for (const Row& row : jobs->rows) {
     if (const auto job = CancelledJob(row.key.key)) m_scheduler->CancelJob(*job, now);
   }
+  if (handover) {
+    m_scheduler->InheritHandover(handover->pool);
+    m_maintenance->Resume(handover->maintenance);
+  }
   m_jobs.StartAt(jobs->version);
   // A previous owner has removed the definitions of these jobs, but not their progress.
   for (const auto& [id, state] : states) {
@@ -199,10 +245,26 @@
        {"epoch", m_ownership.epoch},
        {"jobs", jobs->rows.size()},
        {"open_jobs", m_scheduler->open_jobs()},
-       {"executors", links->rows.size()}});
+       {"executors", links->rows.size()},
+       {"handover", handover.has_value()},
+       {"took_ms", ToMilliseconds(now - m_ownership.acquired_at)}});
   co_return MakeOk();
 }
 
+QCoro::Task<std::optional<HandoverRecord>> PoolOwner::LoadHandover() {
+  if (!m_ownership.released_version) co_return std::nullopt;
+  const auto rows = co_await ReadPartition(m_context.platform.rows, kHandoversTable, m_pool.str());
+  auto record = rows.ok() ? DecodeHandover(rows->rows, *m_ownership.released_version)
+                          : RetVal<HandoverRecord>(rows.ret());
+  if (!record.ok()) {
+    Log(LogLevel::kWarning, "handover_unusable",
+        {{"pool", m_pool.view()}, {"error", record.ret().message()}});
+    co_return std::nullopt;
+  }
+  std::optional<HandoverRecord> result = std::move(record).value();
+  co_return result;
+}
+
 QCoro::Task<void> PoolOwner::FollowJobs() {
   while (!m_ended.requested()) {
     const auto changes = co_await m_jobs.Next();
@@ -284,6 +346,11 @@
   ProcessUpdates();
 }
 
+void PoolOwner::Readmit(const scheduling::ExecutorId& id) {
+  m_scheduler->SetCordoned(id, false);
+  ApplyRegistry();
+}
+
 void PoolOwner::SyncLinks() {
   std::erase_if(m_links, [](const auto& entry) { return entry.second->finished(); });
   for (const auto& [id, executor] : m_scheduler->executors()) {
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -3,7 +3,10 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
+#include <vector>
 
 #include "decisions/scheduling/pool_scheduler.h"
 #include "fleet/change_feed.h"
@@ -29,6 +32,8 @@
 struct Ownership {
   int64_t epoch = 0;        ///< Version of the owner row; fencing token of orders to executors.
   TimePoint acquired_at{};  ///< When the bid was sent.
+  /// Version of the owner row that the bid replaced, if the previous owner had released the pool.
+  std::optional<int64_t> released_version;
 };
 
 /// Owner of a pool: passes events to the scheduler of the pool, sends its orders to executors and
@@ -61,6 +66,8 @@
   bool HasSettled(const Instance& instance) const;
   /// Plans after events, sends the orders and wakes the committer.
   void ProcessUpdates();
+  /// Uses an executor again that was taken for gone or was cordoned.
+  void Readmit(const scheduling::ExecutorId& id);
 
  private:
   int64_t BytesOf(const scheduling::JobDefinition& job,
@@ -74,6 +81,14 @@
   void StartWork();
   /// Reads the state that the previous owner left in the store.
   QCoro::Task<Ret> Load();
+  /// Reads what the previous owner left when it released the pool.
+  /// @return nothing if it did not release the pool, or the record cannot be used.
+  QCoro::Task<std::optional<HandoverRecord>> LoadHandover();
+  /// Commits the remaining state and releases the pool to a successor.
+  QCoro::Task<void> Release();
+  std::vector<std::string> MakeHandoverRows() const;
+  /// @return the entry that should take over the pool when this one stops.
+  EntryId ChooseSuccessor() const;
   QCoro::Task<void> FollowJobs();
   /// Advances the scheduler with time.
   QCoro::Task<void> Tick();
@@ -115,6 +130,7 @@
   Subscription m_next_plan;
   bool m_plan_waits = false;
   Subscription m_plan_for_link;  // When tasks have waited for the link.
+  bool m_loaded = false;         // The state of the pool has been read.
   StopSignal m_ended;
   OneShot<bool> m_committer_ended;
   Ret m_reason;
--- a/src/fleet/pool/internal/state_committer.cc
+++ b/src/fleet/pool/internal/state_committer.cc
@@ -21,6 +21,8 @@
 constexpr Duration kMaxRetryDelay = 300ms;
 // Two entries are needed for the owner row: its condition and its new value.
 constexpr size_t kMaxBatchRows = kMaxTransactionEntries - 2;
+// The last commit also writes the row of the release and those of the handover.
+constexpr size_t kMaxLastBatchRows = kMaxBatchRows - 1 - kMaxHandoverRows;
 constexpr Duration kReleaseTimeout = 1500ms;
 
 }  // namespace
@@ -35,15 +37,24 @@
       m_version(epoch),
       m_valid_until(acquired_at + kOwnerLease) {}
 
-Transaction StateCommitter::MakeTransaction(const CommitBatch& batch, bool release) const {
+Transaction StateCommitter::MakeTransaction(const CommitBatch& batch,
+                                            const Release* release) const {
   const RowKey owner = OwnerKey(m_pool);
   const OwnerRecord record{.holder = release ? std::string() : m_context.options.name,
                            .incarnation = m_context.options.incarnation,
                            .commit = m_commit,
                            .relay_key = PublicRelayKey(m_context.options),
-                           .loading = !m_loaded};
+                           .loading = !m_loaded,
+                           .successor = release ? release->successor : EntryId()};
   Transaction transaction{.conditions = {{.key = owner, .version = m_version}},
                           .puts = {{.key = owner, .value = EncodeOwner(record)}}};
+  if (release) {
+    transaction.puts.push_back({.key = ReleaseKey(m_pool), .value = EncodeOwner(record)});
+    for (size_t i = 0; i < release->handover.size(); ++i) {
+      transaction.puts.push_back(
+          {.key = HandoverKey(m_pool, static_cast<int>(i)), .value = release->handover[i]});
+    }
+  }
   for (const auto& [job, progress] : batch.progress) {
     transaction.puts.push_back(
         {.key = ProgressKey(m_pool, job), .value = EncodeProgress(progress)});
@@ -63,7 +74,7 @@
   return transaction;
 }
 
-QCoro::Task<Ret> StateCommitter::CommitOnce(const CommitBatch& batch, bool release,
+QCoro::Task<Ret> StateCommitter::CommitOnce(const CommitBatch& batch, const Release* release,
                                             StopSignal* stop) {
   ++m_commit;
   const Transaction transaction = MakeTransaction(batch, release);
@@ -114,7 +125,7 @@
   Subscription woken = stop.Subscribe([this] { Wake(); });
   while (!stop.requested()) {
     const CommitBatch batch = m_scheduler.TakeCommit(kMaxBatchRows);
-    const Ret ret = co_await CommitOnce(batch, false, &stop);
+    const Ret ret = co_await CommitOnce(batch, nullptr, &stop);
     if (!ret.ok()) {
       m_scheduler.OnCommitFailed(batch);
       co_return stop.requested() ? MakeOk() : ret;
@@ -130,14 +141,18 @@
   co_return MakeOk();
 }
 
-QCoro::Task<void> StateCommitter::ReleaseOwnership() {
+QCoro::Task<void> StateCommitter::ReleaseOwnership(
+    EntryId successor, std::function<std::vector<std::string>()> handover) {
   const TimePoint deadline = m_context.timers.Now() + kReleaseTimeout;
   while (m_context.timers.Now() < deadline) {
-    const CommitBatch batch = m_scheduler.TakeCommit(kMaxBatchRows);
+    const CommitBatch batch = m_scheduler.TakeCommit(kMaxLastBatchRows);
     const bool last = !m_scheduler.has_dirty();
+    Release release{.successor = successor};
+    if (last) release.handover = handover();
     StopSignal stopped;
     stopped.Request();
-    const Ret ret = co_await CommitOnce(batch, last, &stopped);
+    const Release* written = last ? &release : nullptr;
+    const Ret ret = co_await CommitOnce(batch, written, &stopped);
     if (!ret.ok() || last) co_return;
   }
 }
--- a/src/fleet/pool/internal/state_committer.h
+++ b/src/fleet/pool/internal/state_committer.h
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "decisions/scheduling/pool_scheduler.h"
 #include "fleet/fleet_context.h"
@@ -34,7 +36,12 @@
   /// Notifies the committer of dirty state.
   void Wake() { m_wake.Push(0); }
   /// Commits the remaining dirty state and releases the ownership with the last commit.
-  QCoro::Task<void> ReleaseOwnership();
+  /// @param successor the entry that should bid first; empty for any.
+  /// @param handover returns the rows of the handover, which the last commit writes; called once
+  /// all
+  ///   other state is committed or in that commit.
+  QCoro::Task<void> ReleaseOwnership(EntryId successor,
+                                     std::function<std::vector<std::string>()> handover);
 
   /// @return the end of the lease, after which another entry may own the pool.
   TimePoint valid_until() const { return m_valid_until; }
@@ -42,12 +49,19 @@
   int64_t newest_version() const { return m_version; }
 
  private:
+  /// What the last commit of an owner writes besides the state of the pool.
+  struct Release {
+    EntryId successor;
+    std::vector<std::string> handover;
+  };
+
   /// Commits a batch, repeating the transaction while its outcome is unknown.
-  /// @param release whether to clear the holder in the owner row.
+  /// @param release clears the holder in the owner row; nullptr to stay the owner.
   /// @param stop ends the repetitions.
   /// @return success, or why the ownership was lost.
-  QCoro::Task<Ret> CommitOnce(const scheduling::CommitBatch& batch, bool release, StopSignal* stop);
-  Transaction MakeTransaction(const scheduling::CommitBatch& batch, bool release) const;
+  QCoro::Task<Ret> CommitOnce(const scheduling::CommitBatch& batch, const Release* release,
+                              StopSignal* stop);
+  Transaction MakeTransaction(const scheduling::CommitBatch& batch, const Release* release) const;
 
   FleetContext& m_context;
   PoolName m_pool;
--- a/src/fleet/tables.h
+++ b/src/fleet/tables.h
@@ -2,6 +2,7 @@
 #define CITRONFERRY_FLEET_TABLES_H_
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,11 @@
 RowKey CancelKey(const PoolName& pool, const JobId& job);
 RowKey ProgressKey(const PoolName& pool, const JobId& job);
 RowKey QueueKey(const PoolName& pool, const QueueName& queue);
+/// @return the key of the row that announces the release of a pool. It has the value of the owner
+///   row and is written with it.
+RowKey ReleaseKey(const PoolName& pool);
+/// @param part number of the row, from 0.
+RowKey HandoverKey(const PoolName& pool, int part);
 RowKey MaintenanceWaveKey(int64_t wave);
 RowKey DemandKey(const PoolName& pool);
 RowKey EntryKey(const EntryId& entry);
@@ -36,6 +42,8 @@
 inline constexpr const char* kLinksTable = "links";
 inline constexpr const char* kProgressTable = "progress";
 inline constexpr const char* kQueuesTable = "queues";
+inline constexpr const char* kReleasesTable = "releases";
+inline constexpr const char* kHandoversTable = "handovers";
 inline constexpr const char* kDemandTable = "demand";    ///< Its only partition has the same name.
 inline constexpr const char* kEntriesTable = "entries";  ///< Its only partition has the same name.
 /// @return the table of a pool's job definitions and cancellations. Each pool has its own table,
@@ -65,8 +73,35 @@
   int64_t commit = 0;       ///< Number of the owner's last commit, counted from its takeover.
   std::string relay_key;    ///< Public key of the owning entry in Z85; may be empty.
   bool loading = false;     ///< The owner has not read the state of the pool yet.
+  EntryId successor;        ///< After a release: the entry that bids first; empty for any.
 };
 
+/// Maintenance of an instance that the platform has accepted, and from which the instance was not
+/// back yet when the owner released the pool.
+struct OrderedMaintenance {
+  int64_t wave = 0;
+  InstanceId instance;
+  scheduling::ExecutorId executor;  ///< That was on the instance; empty if it was off.
+
+  friend bool operator==(const OrderedMaintenance&, const OrderedMaintenance&) = default;
+};
+
+/// What an owner that releases its pool leaves to its successor.
+struct HandoverRecord {
+  scheduling::PoolHandover pool;
+  std::vector<OrderedMaintenance> maintenance;
+};
+
+/// Encodes a handover as the values of one or more rows, each within the size that the store takes.
+/// @return nothing if there would be more than kMaxHandoverRows.
+std::vector<std::string> EncodeHandover(const HandoverRecord& record);
+/// @param rows of the table `handovers`, in any order.
+/// @param version of the transaction that wrote the handover; other rows are of earlier releases.
+/// @return kNotFound if a row is missing.
+RetVal<HandoverRecord> DecodeHandover(std::span<const Row> rows, int64_t version);
+/// Largest number of rows of a handover; larger pools are taken over as after the loss of an owner.
+inline constexpr size_t kMaxHandoverRows = 6;
+
 std::string EncodeOwner(const OwnerRecord& record);
 RetVal<OwnerRecord> DecodeOwner(std::string_view text);
 std::string EncodeEntry(const EntryRecord& entry);
--- a/src/fleet/watch/internal/entry_watcher.cc
+++ b/src/fleet/watch/internal/entry_watcher.cc
@@ -76,6 +76,7 @@
       const EntryId id(row.key.key);
       auto record = DecodeEntry(id, row.value);
       if (record.ok()) {
+        record->announced_version = row.version;
         entries.insert_or_assign(id, std::move(record).value());
       } else {
         Log(LogLevel::kError, "entry_row_unreadable",
--- a/src/fleet/watch/internal/owner_watcher.cc
+++ b/src/fleet/watch/internal/owner_watcher.cc
@@ -12,6 +12,18 @@
 constexpr Duration kPollInterval = 500ms;
 constexpr Duration kInitialRetryDelay = 100ms;
 constexpr Duration kMaxRetryDelay = 1s;
+// Bounds the time for which a connection that has gone silent hides releases, which the poll of the
+// owners finds later.
+constexpr Duration kReleaseWait = 5s;
+
+// Reads the owners of the pools in the current configuration.
+QCoro::Task<RetVal<RowChanges>> ReadOwners(FleetContext& context) {
+  std::vector<std::string> partitions;
+  for (const Pool& pool : context.configuration.Get().pools) {
+    partitions.push_back(OwnerKey(pool.name).partition);
+  }
+  return ReadTable(context.platform.rows, kOwnersTable, std::move(partitions));
+}
 
 class OwnerWatcher : public Service {
  public:
@@ -41,20 +53,47 @@
   void Stop() override { m_stop.Request(); }
 
  private:
-  // The partitions are those of the pools in the current configuration.
-  QCoro::Task<RetVal<RowChanges>> ReadAll() {
-    std::vector<std::string> partitions;
-    for (const Pool& pool : m_context.configuration.Get().pools) {
-      partitions.push_back(OwnerKey(pool.name).partition);
+  FleetContext& m_context;
+  ChangeFeed<RowChanges> m_feed{kOwnersTable, [this] { return ReadOwners(m_context); },
+                                [this](int64_t after) {
+                                  return m_context.platform.rows.Follow(kOwnersTable, after,
+                                                                        Duration::zero());
+                                },
+                                Backoff(kInitialRetryDelay, kMaxRetryDelay)};
+  StopSignal m_stop;
+};
+
+// Learns at once of pools that their owners release. The rows of the owners themselves change with
+// each commit, too often to be followed.
+class ReleaseWatcher : public Service {
+ public:
+  explicit ReleaseWatcher(FleetContext& context) : m_context(context) {}
+
+  QCoro::Task<Ret> Run() override {
+    while (!m_stop.requested()) {
+      if (m_context.configuration.Get().version == 0) {
+        co_await SleepFor(m_context.timers, kInitialRetryDelay, &m_stop);
+        continue;
+      }
+      const auto changes = co_await m_feed.Next();
+      if (!changes.ok()) {
+        co_await SleepFor(m_context.timers, m_feed.retry_delay(), &m_stop);
+        continue;
+      }
+      for (const Row& row : changes->changed) ObserveOwner(m_context, row);
     }
-    return ReadTable(m_context.platform.rows, kOwnersTable, std::move(partitions));
+    co_return MakeOk();
   }
 
+  void Stop() override { m_stop.Request(); }
+
+ private:
   FleetContext& m_context;
-  ChangeFeed<RowChanges> m_feed{kOwnersTable, [this] { return ReadAll(); },
+  // Releases from before the first read are part of the owners' rows.
+  ChangeFeed<RowChanges> m_feed{kReleasesTable, [this] { return ReadOwners(m_context); },
                                 [this](int64_t after) {
-                                  return m_context.platform.rows.Follow(kOwnersTable, after,
-                                                                        Duration::zero());
+                                  return m_context.platform.rows.Follow(kReleasesTable, after,
+                                                                        kReleaseWait);
                                 },
                                 Backoff(kInitialRetryDelay, kMaxRetryDelay)};
   StopSignal m_stop;
@@ -75,10 +114,16 @@
           .incarnation = record->incarnation,
           .relay_key = record->relay_key,
           .loading = record->loading,
+          .successor = record->successor,
           .version = row.version,
           .changed_at = context.timers.Now()};
 }
 
+ChildSpec MakeReleaseWatcher(FleetContext& context) {
+  return {.name = "release_watcher",
+          .factory = [&context] { return std::make_unique<ReleaseWatcher>(context); }};
+}
+
 ChildSpec MakeOwnerWatcher(FleetContext& context) {
   return {.name = "owner_watcher",
           .factory = [&context] { return std::make_unique<OwnerWatcher>(context); }};
--- a/src/fleet/watch/watchers.h
+++ b/src/fleet/watch/watchers.h
@@ -18,8 +18,10 @@
 ChildSpec MakeEntryWatcher(FleetContext& context);
 /// Creates the service that observes the owner of each pool.
 ChildSpec MakeOwnerWatcher(FleetContext& context);
+/// Creates the service that observes releases of pools as soon as they are committed.
+ChildSpec MakeReleaseWatcher(FleetContext& context);
 /// Updates the observed owner of a pool, unless a newer version of the row is known.
-/// @param row of the table `owners`.
+/// @param row of the table `owners` or `releases`.
 void ObserveOwner(FleetContext& context, const Row& row);
 
 }  // namespace citronferry::fleet
