Limit what teams use in a pool

The scheduler accounts what each team uses, respects the team's limit at each start, for gangs as a whole, and reports a job that waits for a limit once for each configuration. Capacity of inherited executors that have not reported counts as used by every team with a limit. A step that is held back by a limit does not count as a step without capacity.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -13,6 +13,16 @@
 constexpr Duration kUnlistedGracePeriod = 5s;
 // Number of steps without capacity, in rank order, after which the pool is considered full.
 constexpr int kMaxUnplacedSteps = 40;
+// More than any limit of a team. Sums of several such amounts fit 64 bits.
+constexpr Resources kUnknownCapacity{.cpu_millicores = 10'000'000'000'000,
+                                     .memory_mb = 10'000'000'000'000,
+                                     .gpus = 10'000'000'000'000};
+
+Resources Times(const Resources& request, int count) {
+  return {.cpu_millicores = request.cpu_millicores * count,
+          .memory_mb = request.memory_mb * count,
+          .gpus = request.gpus * count};
+}
 
 }  // namespace
 
@@ -36,6 +46,10 @@
   m_plan_needed = true;
 }
 
+void PoolScheduler::SetTeamLimits(std::map<TeamName, TeamLimit> limits) {
+  m_plan_needed |= m_team_quotas.SetLimits(std::move(limits));
+}
+
 const QueuePolicy& PoolScheduler::PolicyOf(const Job& job) const {
   const auto found = m_queues.find(job.definition()->queue);
   return found == m_queues.end() ? job.definition()->accepted_policy : found->second;
@@ -130,6 +144,7 @@
   job.final_since = now;
   m_final_jobs.emplace_back(now, job.id());
   m_open_jobs.erase(job.id());
+  m_team_quotas.ForgetJob(job.id());
   MarkDirty(job);
   StopAllRuns(job, now);
   m_plan_needed = true;
@@ -243,6 +258,24 @@
   });
 }
 
+Resources PoolScheduler::UnresolvedCapacity() const {
+  Resources unresolved;
+  for (const auto& [id, executor] : m_executors) {
+    if (!executor.inherited || executor.reported) continue;
+    // The capacity of an executor that has left the registry is not known.
+    const bool known = executor.info.capacity != Resources();
+    unresolved += known ? executor.free() : kUnknownCapacity;
+  }
+  return unresolved;
+}
+
+void PoolScheduler::HoldBack(const Job& job, const TaskId& id, const Resources& request) {
+  const TeamName& team = job.definition()->team;
+  m_team_quotas.HoldBack(team, request, job.spec(id.step).uses_leftover_cpu);
+  if (!m_team_quotas.ShouldReport(id.job, team)) return;
+  Note("quota_wait", id, 0, {}, m_team_quotas.Explain(team, request));
+}
+
 std::vector<Candidate> PoolScheduler::MakeCandidates(TimePoint now) {
   std::vector<Candidate> candidates;
   for (auto& [id, executor] : m_executors) {
@@ -296,6 +329,7 @@
   m_waiting_cores = 0;
   std::vector<Candidate> candidates = MakeCandidates(now);
   Placer placer(candidates, now);
+  if (m_team_quotas.has_limits()) m_team_quotas.BeginRound(UnresolvedCapacity());
   int unplaced_steps = 0;
   for (const PlanningJob& entry : RankJobs(now)) {
     Job& job = *entry.job;
@@ -310,6 +344,11 @@
       }
     }
   }
+  if (m_team_quotas.has_limits()) {
+    Resources free;
+    for (const Candidate& candidate : candidates) free += candidate.free;
+    m_team_quotas.EndRound(free);
+  }
   m_cost = nullptr;
   m_wait_for_link = unplaced_steps > 0 ? m_budget.time_until_available() : Duration::zero();
   return std::exchange(m_orders, {});
@@ -335,6 +374,11 @@
     const bool free_of_runs = std::all_of(step.tasks.begin(), step.tasks.end(),
                                           [](const Task& task) { return task.runs.empty(); });
     if (!free_of_runs || step.tasks.front().done) return true;
+    const Resources whole = Times(spec.request, spec.replicas);
+    if (!m_team_quotas.Allows(job.definition()->team, whole)) {
+      HoldBack(job, id, whole);
+      return true;
+    }
     const auto executors = m_budget.available() ? placer.PlaceGang(placement) : std::nullopt;
     if (!executors) {
       m_waiting_cores += cores * spec.replicas;
@@ -352,6 +396,11 @@
   for (size_t i = 0; i < step.tasks.size(); ++i) {
     Task& task = step.tasks[i];
     if (!NeedsPlacement(task, spec)) continue;
+    if (!m_team_quotas.Allows(job.definition()->team, spec.request)) {
+      id.index = static_cast<int>(i);
+      HoldBack(job, id, spec.request);
+      continue;
+    }
     const bool may_send = placed_all && m_budget.available();
     ExecutorState* executor = may_send ? placer.Place(placement, task.avoided) : nullptr;
     if (!executor) {
@@ -372,7 +421,8 @@
   task.runs.push_back(
       {.id = run, .executor = executor.info.id, .ordered_at = now, .percent_changed_at = now});
   executor.runs.push_back({.job = &job, .task = id, .run = run});
-  executor.used += CountedRequest(job, id.step);
+  Charge(executor, job, id.step);
+  m_team_quotas.ForgetJob(job.id());
   job.MarkStarted();
   if (m_cost) m_budget.Spend(m_cost->BytesOf(*job.definition(), executor.info.id));
   const std::string& checkpoint =
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -184,7 +184,7 @@
                        .metric = active.metric,
                        .adopted = true});
   executor.runs.push_back({.job = &job, .task = active.task, .run = active.run});
-  executor.used += CountedRequest(job, active.task.step);
+  Charge(executor, job, active.task.step);
   Note(wanted ? "run_adopted" : "stray_run", active.task, active.run, executor.info.id);
   if (wanted) {
     job.MarkStarted();
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -25,6 +25,17 @@
   return request;
 }
 
+void PoolScheduler::Charge(ExecutorState& executor, const Job& job, int step) {
+  executor.used += CountedRequest(job, step);
+  // The quota of a team covers best-effort tasks in full.
+  m_team_quotas.Charge(job.definition()->team, job.spec(step).request);
+}
+
+void PoolScheduler::Refund(ExecutorState& executor, const Job& job, int step) {
+  executor.used -= CountedRequest(job, step);
+  m_team_quotas.Refund(job.definition()->team, job.spec(step).request);
+}
+
 Run* PoolScheduler::FindRun(const TaskId& id, int64_t run, const ExecutorId& executor) {
   Job* job = FindJobMutable(id.job);
   Task* task = job ? job->FindTask(id) : nullptr;
@@ -40,7 +51,7 @@
       std::find_if(executor.runs.begin(), executor.runs.end(),
                    [&](const RunRef& entry) { return entry.run == run && entry.task == id; });
   if (ref == executor.runs.end()) return;
-  executor.used -= CountedRequest(*ref->job, id.step);
+  Refund(executor, *ref->job, id.step);
   if (Task* task = ref->job->FindTask(id)) {
     std::erase_if(task->runs, [&](const Run& candidate) {
       return candidate.id == run && candidate.executor == executor.info.id;
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -20,6 +20,7 @@
 #include "decisions/scheduling/placement.h"
 #include "decisions/scheduling/ranking.h"
 #include "decisions/scheduling/start_budget.h"
+#include "decisions/scheduling/team_quotas.h"
 #include "decisions/scheduling/types.h"
 
 namespace citronferry::scheduling {
@@ -108,6 +109,11 @@
   /// Replaces the policies of the queues that the pool serves.
   void SetQueues(std::span<const QueuePolicy> queues);
 
+  /// Replaces the limits of what teams may use in the pool. Teams without one are not limited.
+  void SetTeamLimits(std::map<TeamName, TeamLimit> limits);
+  /// @return what each team uses, and what waits only for its limit as of the last planning.
+  std::map<TeamName, TeamUse> TeamUses() const { return m_team_quotas.Uses(UnresolvedCapacity()); }
+
   /// Adds an executor that a previous owner communicated with.
   void InheritExecutor(const LinkRecord& link);
   /// Adds or updates an executor from the registry.
@@ -280,6 +286,15 @@
   bool NeedsPlacement(const Task& task, const StepSpec& spec) const;
   /// @return whether a previous owner may have started tasks that this owner does not know of yet.
   bool TakeoverUnresolved(const StepSpec& spec) const;
+  /// @return the capacity of inherited executors on which unknown runs may exist.
+  Resources UnresolvedCapacity() const;
+  /// Charges an executor and the job's team with a run of a step.
+  void Charge(ExecutorState& executor, const Job& job, int step);
+  /// Reverses Charge.
+  void Refund(ExecutorState& executor, const Job& job, int step);
+  /// Records that the team's limit keeps a task or gang of a step from starting.
+  /// @param request of the task or the whole gang.
+  void HoldBack(const Job& job, const TaskId& id, const Resources& request);
   /// Drops jobs whose retention has passed and that have no run left.
   void ExpireFinalJobs(TimePoint now);
   /// Drops executors that have been unlisted for a grace period and have no run left.
@@ -314,6 +329,7 @@
   std::vector<SchedulerNote> m_notes;
   bool m_plan_needed = true;
   double m_waiting_cores = 0;
+  TeamQuotas m_team_quotas;
   StartBudget m_budget;
   const StartCost* m_cost = nullptr;  ///< During Plan.
   Duration m_wait_for_link{};
