--- a/src/decisions/scheduling/internal/team_quotas.cc
+++ b/src/decisions/scheduling/internal/team_quotas.cc
@@ -26,9 +26,7 @@
   return true;
 }
 
-void TeamQuotas::Charge(const TeamName& team, const Resources& request) {
-  if (!team.empty()) m_used[team] += request;
-}
+void TeamQuotas::Charge(const TeamName& team, const Resources& request) { m_used[team] += request; }
 
 void TeamQuotas::Refund(const TeamName& team, const Resources& request) {
   const auto found = m_used.find(team);
@@ -53,6 +51,13 @@
 }
 
 void TeamQuotas::HoldBack(const TeamName& team, const Resources& request, bool best_effort) {
+  // A request beyond the whole quota can never start. Waiting for it would keep others from theirs.
+  const auto limit = m_limits.find(team);
+  if (limit == m_limits.end()) return;
+  for (const auto& [name, amount] : kDimensions) {
+    const int64_t quota = limit->second.quota.*amount;
+    if (quota > 0 && request.*amount > quota) return;
+  }
   TeamUse& use = m_held_back[team];
   (best_effort ? m_best_effort_held_back[team] : use.waiting) += request;
   for (const auto& [name, amount] : kDimensions) {
--- a/src/decisions/scheduling/team_quotas.h
+++ b/src/decisions/scheduling/team_quotas.h
@@ -60,12 +60,14 @@
   /// @param unresolved as for BeginRound.
   /// @return use and need of the teams that have a limit, use or need.
   std::map<TeamName, TeamUse> Uses(const Resources& unresolved) const;
+  /// @return what known runs of each team use.
+  const std::map<TeamName, Resources>& used() const { return m_used; }
   /// @return what known runs of a team use.
   Resources UsedBy(const TeamName& team) const;
 
  private:
   std::map<TeamName, TeamLimit> m_limits;
-  std::map<TeamName, Resources> m_used;
+  std::map<TeamName, Resources> m_used;     // Includes jobs without a team.
   std::map<TeamName, TeamUse> m_held_back;  // Their use is not set.
   std::map<TeamName, Resources> m_best_effort_held_back;
   Resources m_unresolved;
