Order the jobs of a full pool by the shares of their teams

Among waiting jobs of equal priority and timeliness, jobs within a team's rate go first, then those of the team with the lowest use against its weight. Ranks of jobs without teams stay as they are.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -50,6 +50,10 @@
   m_plan_needed |= m_team_quotas.SetLimits(std::move(limits));
 }
 
+void PoolScheduler::SetTeamWeights(std::map<TeamName, double> weights) {
+  m_team_shares.SetWeights(std::move(weights));
+}
+
 const QueuePolicy& PoolScheduler::PolicyOf(const Job& job) const {
   const auto found = m_queues.find(job.definition()->queue);
   return found == m_queues.end() ? job.definition()->accepted_policy : found->second;
@@ -122,6 +126,8 @@
   m_advice_used |= definition->accepted_policy.needs_advice;
   auto job = std::make_unique<Job>(std::move(definition), accepted_at, inherited);
   if (progress) job->Restore(*progress);
+  // The rate of a team is not known for the time before the takeover.
+  if (!inherited) job->beyond_rate = !m_team_shares.OnArrival(job->definition()->team, accepted_at);
   if (job->is_final()) {
     job->final_since = accepted_at;
     m_final_jobs.emplace_back(accepted_at, id);
@@ -319,9 +325,47 @@
   }
   std::stable_sort(ranked.begin(), ranked.end(),
                    [](const PlanningJob& a, const PlanningJob& b) { return a.rank < b.rank; });
+  if (m_team_shares.active()) RankByTeams(ranked);
   return ranked;
 }
 
+void PoolScheduler::RankByTeams(std::vector<PlanningJob>& ranked) const {
+  struct TeamState {
+    int jobs_within_rate = 0;
+    double use = 0;  ///< Including jobs that go before.
+  };
+  std::map<TeamName, TeamState> teams;
+  for (const PlanningJob& entry : ranked) {
+    const TeamName& team = entry.job->definition()->team;
+    const auto [state, added] = teams.try_emplace(team);
+    if (added) state->second.use = m_team_shares.UseOf(team);
+    if (!entry.job->beyond_rate) ++state->second.jobs_within_rate;
+  }
+  for (PlanningJob& entry : ranked) {
+    const TeamName& team = entry.job->definition()->team;
+    TeamState& state = teams.at(team);
+    // Which of a team's jobs arrived beyond its rate does not matter, only how many did.
+    const bool within_rate = state.jobs_within_rate > 0;
+    if (within_rate) --state.jobs_within_rate;
+    if (entry.rank.not_started != 0) {
+      entry.rank.beyond_rate = within_rate ? 0 : 1;
+      entry.rank.team_share = state.use / m_team_shares.WeightOf(team);
+    }
+    for (const auto& [number, occurrence] : entry.job->occurrences()) {
+      for (size_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (!Job::IsReady(occurrence.steps[step])) continue;
+        const StepSpec& spec = entry.job->spec(static_cast<int>(step));
+        const auto waiting =
+            std::count_if(occurrence.steps[step].tasks.begin(), occurrence.steps[step].tasks.end(),
+                          [&](const Task& task) { return NeedsPlacement(task, spec); });
+        state.use += m_team_shares.DominantShare(Times(spec.request, static_cast<int>(waiting)));
+      }
+    }
+  }
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [](const PlanningJob& a, const PlanningJob& b) { return a.rank < b.rank; });
+}
+
 Orders PoolScheduler::Plan(TimePoint now, const StartCost* cost) {
   m_plan_needed = false;
   m_cost = cost;
@@ -330,6 +374,11 @@
   std::vector<Candidate> candidates = MakeCandidates(now);
   Placer placer(candidates, now);
   if (m_team_quotas.has_limits()) m_team_quotas.BeginRound(UnresolvedCapacity());
+  if (m_team_shares.active()) {
+    Resources capacity;
+    for (const auto& [id, executor] : m_executors) capacity += executor.info.capacity;
+    m_team_shares.UpdateUse(m_team_quotas.used(), capacity, now);
+  }
   int unplaced_steps = 0;
   for (const PlanningJob& entry : RankJobs(now)) {
     Job& job = *entry.job;
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -139,6 +139,7 @@
   std::set<ExecutorId>& failed_on() { return m_failed_on; }
 
   std::optional<TimePoint> final_since;  ///< When the state became final; set by the scheduler.
+  bool beyond_rate = false;  ///< Its team exceeded its rate when it arrived; see TeamShares.
   /// Set by JobRanking; cleared by every change of the job's remaining work.
   std::optional<JobEstimate> estimate;
 
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -21,6 +21,7 @@
 #include "decisions/scheduling/ranking.h"
 #include "decisions/scheduling/start_budget.h"
 #include "decisions/scheduling/team_quotas.h"
+#include "decisions/scheduling/team_shares.h"
 #include "decisions/scheduling/types.h"
 
 namespace citronferry::scheduling {
@@ -111,6 +112,10 @@
 
   /// Replaces the limits of what teams may use in the pool. Teams without one are not limited.
   void SetTeamLimits(std::map<TeamName, TeamLimit> limits);
+  /// Replaces the weights of the teams. Without teams, the order of jobs does not depend on them.
+  void SetTeamWeights(std::map<TeamName, double> weights);
+  /// @return the order of teams in a full pool.
+  const TeamShares& team_shares() const { return m_team_shares; }
   /// @return what each team uses, and what waits only for its limit as of the last planning.
   std::map<TeamName, TeamUse> TeamUses() const { return m_team_quotas.Uses(UnresolvedCapacity()); }
 
@@ -273,6 +278,10 @@
 
   std::vector<Candidate> MakeCandidates(TimePoint now);
   std::vector<PlanningJob> RankJobs(TimePoint now) const;
+  /// Orders waiting jobs of equal priority and timeliness by their teams. Within a team, the order
+  /// is not changed.
+  /// @param ranked in the order of their ranks.
+  void RankByTeams(std::vector<PlanningJob>& ranked) const;
   /// @return whether all waiting tasks of the step were placed, or the step cannot be placed for a
   ///   reason other than capacity.
   bool PlaceStep(Job& job, int occurrence, int step_index, Placer& placer, TimePoint now);
@@ -330,6 +339,7 @@
   bool m_plan_needed = true;
   double m_waiting_cores = 0;
   TeamQuotas m_team_quotas;
+  TeamShares m_team_shares;
   StartBudget m_budget;
   const StartCost* m_cost = nullptr;  ///< During Plan.
   Duration m_wait_for_link{};
--- a/src/decisions/scheduling/ranking.h
+++ b/src/decisions/scheduling/ranking.h
@@ -34,15 +34,17 @@
   int not_long_running = 1;  ///< 0 for long-running tasks, which have to run at all times.
   int priority = 0;
   Timeliness timeliness = Timeliness::kInTime;
-  int not_started = 1;  ///< 0 if tasks have been started.
+  int not_started = 1;    ///< 0 if tasks have been started.
+  int beyond_rate = 0;    ///< 1 for waiting jobs of teams that exceed their rate; see TeamShares.
+  double team_share = 0;  ///< Use of a waiting job's team against its weight; see TeamShares.
   double order = 0;  ///< Core-seconds left if in time, otherwise seconds until all value is lost.
   double tie_breaker = 0;
 
   friend bool operator<(const Rank& left, const Rank& right) {
     return std::tie(left.not_long_running, left.priority, left.timeliness, left.not_started,
-                    left.order, left.tie_breaker) < std::tie(right.not_long_running, right.priority,
-                                                             right.timeliness, right.not_started,
-                                                             right.order, right.tie_breaker);
+                    left.beyond_rate, left.team_share, left.order, left.tie_breaker) <
+           std::tie(right.not_long_running, right.priority, right.timeliness, right.not_started,
+                    right.beyond_rate, right.team_share, right.order, right.tie_breaker);
   }
 };
 
