Divide quotas among the owners of pools through the store

Each owner reads and writes the table quotas while the configuration has a team with a quota, and makes no call otherwise. A successor replaces the row of its pool under its own epoch before anything starts for these teams. The first row of a pool also replaces the row members, on which all writes are conditioned, so that no writer misses the grants of a new pool. A row that cannot be read counts as the whole quota.

With more than 200 teams, idle ones have no reserve: a row has at most 64 KB.

--- a/src/decisions/quotas/internal/grant_planner.cc
+++ b/src/decisions/quotas/internal/grant_planner.cc
@@ -18,6 +18,8 @@
 constexpr Duration kRecentInterval = 500ms;
 // Parts of a quota. The reserves of all pools together take a quarter of it at first.
 constexpr int64_t kReservePart = 4;
+// With more teams, idle ones have no reserve: a row has at most 64 KB.
+constexpr size_t kMaxTeamsWithIdleReserve = 200;
 // Smaller differences are not worth a write.
 constexpr int64_t kNegligiblePart = 16;
 
@@ -181,7 +183,9 @@
     return std::min(available, std::max(used, std::min(recent, ShareOf(team, quota).*dimension)));
   }
   const auto pools = static_cast<int64_t>(std::max<size_t>(1, m_snapshot.pools.size()));
-  const int64_t reserve = std::max(recent / 2, quota.*dimension / (kReservePart * pools));
+  const bool has_reserve = recent > 0 || m_quotas.size() <= kMaxTeamsWithIdleReserve;
+  const int64_t reserve =
+      has_reserve ? std::max(recent / 2, quota.*dimension / (kReservePart * pools)) : 0;
   const int64_t need = Total(NeedOf(team)).*dimension;
   const bool runs_short = need + reserve / 2 > granted;
   const bool idle = granted - recent - reserve > quota.*dimension / kNegligiblePart;
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -7,6 +7,7 @@
 #include "decisions/scheduling/relay_assignment.h"
 #include "fleet/backoff.h"
 #include "fleet/pool/internal/executor_link.h"
+#include "fleet/pool/internal/grant_coordinator.h"
 #include "fleet/pool/internal/instance_mover.h"
 #include "fleet/pool/internal/maintenance_coordinator.h"
 #include "fleet/relay/relay_client.h"
@@ -77,6 +78,7 @@
   m_mover = std::make_unique<InstanceMover>(*this, m_directory, [this](const InstanceId& instance) {
     return m_maintenance->IsInMaintenance(instance);
   });
+  m_grants = std::make_unique<GrantCoordinator>(*this);
 }
 
 PoolOwner::~PoolOwner() = default;
@@ -145,6 +147,8 @@
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return RemoveExpiredJobs(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_maintenance->Run(); });
   m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_mover->Run(); });
+  m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_grants->Follow(); });
+  m_tasks.Spawn([this]() -> QCoro::Task<void> { return m_grants->Run(); });
 }
 
 QCoro::Task<Ret> PoolOwner::Load() {
@@ -266,6 +270,12 @@
     if (queue.policy.pool == m_pool) queues.push_back(queue.policy);
   }
   m_scheduler->SetQueues(queues);
+  std::map<TeamName, double> weights;
+  for (const Team& team : m_context.configuration.Get().teams) {
+    weights.emplace(team.name, team.weight);
+  }
+  m_scheduler->SetTeamWeights(std::move(weights));
+  m_grants->ApplyConfiguration();
 }
 
 void PoolOwner::ApplyRegistry() {
@@ -474,6 +484,7 @@
       static_cast<double>(responding));
   set("citronferry_fleet_lease_margin_seconds", "Time until the ownership is no longer trusted.",
       ToSeconds(m_committer->valid_until() - m_context.timers.Now()));
+  m_grants->UpdateGauges();
   m_context.metrics
       .Gauge("citronferry_fleet_configuration_version", "Version of the configuration in force.")
       .Set(static_cast<double>(m_context.configuration.Get().version));
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -16,6 +16,7 @@
 namespace citronferry::fleet {
 
 class ExecutorLink;
+class GrantCoordinator;
 class MaintenanceCoordinator;
 class InstanceMover;
 
@@ -108,6 +109,7 @@
   InstanceDirectory m_directory;
   std::unique_ptr<MaintenanceCoordinator> m_maintenance;
   std::unique_ptr<InstanceMover> m_mover;
+  std::unique_ptr<GrantCoordinator> m_grants;
   std::set<scheduling::ExecutorId> m_listed;
   ChangeFeed<RowChanges> m_jobs;
   Mailbox<scheduling::TicketRequest> m_ticket_requests;
--- a/src/fleet/tables.h
+++ b/src/fleet/tables.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/ret.h"
+#include "decisions/quotas/types.h"
 #include "decisions/scheduling/move_planner.h"
 #include "decisions/scheduling/pool_scheduler.h"
 #include "decisions/scheduling/types.h"
@@ -31,6 +32,12 @@
 RowKey MaintenanceWaveKey(int64_t wave);
 RowKey DemandKey(const PoolName& pool);
 RowKey EntryKey(const EntryId& entry);
+RowKey GrantsKey(const PoolName& pool);
+/// @return the key of the row that is rewritten with the first row of each pool.
+RowKey GrantMembersKey();
+/// @param key of a row in the table `quotas`.
+/// @return the pool whose grants the row holds, or nothing.
+std::optional<PoolName> GrantsPool(std::string_view key);
 
 inline constexpr const char* kOwnersTable = "owners";
 inline constexpr const char* kLinksTable = "links";
@@ -38,6 +45,7 @@
 inline constexpr const char* kQueuesTable = "queues";
 inline constexpr const char* kDemandTable = "demand";    ///< Its only partition has the same name.
 inline constexpr const char* kEntriesTable = "entries";  ///< Its only partition has the same name.
+inline constexpr const char* kQuotasTable = "quotas";    ///< Its only partition has the same name.
 /// @return the table of a pool's job definitions and cancellations. Each pool has its own table,
 ///   since a feed covers a whole table.
 std::string JobsTable(const PoolName& pool);
@@ -81,6 +89,8 @@
 RetVal<scheduling::QueueSummary> DecodeQueue(const QueueName& name, std::string_view text);
 std::string EncodeDemand(const scheduling::PoolDemand& demand);
 RetVal<scheduling::PoolDemand> DecodeDemand(const PoolName& pool, std::string_view text);
+std::string EncodeGrants(const quotas::GrantRow& row);
+RetVal<quotas::GrantRow> DecodeGrants(std::string_view text);
 
 }  // namespace citronferry::fleet
 
