--- a/src/decisions/scheduling/internal/handover.cc
+++ b/src/decisions/scheduling/internal/handover.cc
@@ -83,7 +83,7 @@
   }
   task->runs.push_back(std::move(restored));
   executor.runs.push_back({.job = job, .task = run.task, .run = run.run});
-  executor.used += CountedRequest(*job, run.task.step);
+  Charge(executor, *job, run.task.step);
   if (!job->is_final()) job->MarkStarted();
 }
 
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -17,6 +17,16 @@
 constexpr int kMaxUnplacedSteps = 40;
 // Bounds the work of a planning round in which steps of many kinds cannot be placed.
 constexpr int kMaxUnplacedStepsOfAllKinds = 400;
+// More than any limit of a team. Sums of several such amounts fit 64 bits.
+constexpr Resources kUnknownCapacity{.cpu_millicores = 10'000'000'000'000,
+                                     .memory_mb = 10'000'000'000'000,
+                                     .gpus = 10'000'000'000'000};
+
+Resources Times(const Resources& request, int count) {
+  return {.cpu_millicores = request.cpu_millicores * count,
+          .memory_mb = request.memory_mb * count,
+          .gpus = request.gpus * count};
+}
 
 }  // namespace
 
@@ -68,6 +78,14 @@
   m_plan_needed = true;
 }
 
+void PoolScheduler::SetTeamLimits(std::map<TeamName, TeamLimit> limits) {
+  m_plan_needed |= m_team_quotas.SetLimits(std::move(limits));
+}
+
+void PoolScheduler::SetTeamWeights(std::map<TeamName, double> weights) {
+  m_team_shares.SetWeights(std::move(weights));
+}
+
 const QueuePolicy& PoolScheduler::PolicyOf(const Job& job) const {
   const auto found = m_queues.find(job.definition()->queue);
   return found == m_queues.end() ? job.definition()->accepted_policy : found->second;
@@ -143,6 +161,8 @@
   m_advice_used |= definition->accepted_policy.needs_advice;
   auto job = std::make_unique<Job>(std::move(definition), accepted_at, inherited);
   if (progress) job->Restore(*progress);
+  // The rate of a team is not known for the time before the takeover.
+  if (!inherited) job->beyond_rate = !m_team_shares.OnArrival(job->definition()->team, accepted_at);
   if (job->is_final()) {
     job->final_since = accepted_at;
     m_final_jobs.emplace_back(accepted_at, id);
@@ -165,6 +185,7 @@
   job.final_since = now;
   m_final_jobs.emplace_back(now, job.id());
   m_open_jobs.erase(job.id());
+  m_team_quotas.ForgetJob(job.id());
   MarkDirty(job);
   StopAllRuns(job, now);
   m_plan_needed = true;
@@ -283,6 +304,24 @@
   });
 }
 
+Resources PoolScheduler::UnresolvedCapacity() const {
+  Resources unresolved;
+  for (const auto& [id, executor] : m_executors) {
+    if (!executor.inherited || executor.reported) continue;
+    // The capacity of an executor that has left the registry is not known.
+    const bool known = executor.info.capacity != Resources();
+    unresolved += known ? executor.free() : kUnknownCapacity;
+  }
+  return unresolved;
+}
+
+void PoolScheduler::HoldBack(const Job& job, const TaskId& id, const Resources& request) {
+  const TeamName& team = job.definition()->team;
+  m_team_quotas.HoldBack(team, request, job.spec(id.step).uses_leftover_cpu);
+  if (!m_team_quotas.ShouldReport(id.job, team)) return;
+  Note("quota_wait", id, 0, {}, m_team_quotas.Explain(team, request));
+}
+
 std::vector<Candidate> PoolScheduler::MakeCandidates(TimePoint now) {
   std::vector<Candidate> candidates;
   for (auto& [id, executor] : m_executors) {
@@ -326,9 +365,47 @@
   }
   std::stable_sort(ranked.begin(), ranked.end(),
                    [](const PlanningJob& a, const PlanningJob& b) { return a.rank < b.rank; });
+  if (m_team_shares.active()) RankByTeams(ranked);
   return ranked;
 }
 
+void PoolScheduler::RankByTeams(std::vector<PlanningJob>& ranked) const {
+  struct TeamState {
+    int jobs_within_rate = 0;
+    double use = 0;  ///< Including jobs that go before.
+  };
+  std::map<TeamName, TeamState> teams;
+  for (const PlanningJob& entry : ranked) {
+    const TeamName& team = entry.job->definition()->team;
+    const auto [state, added] = teams.try_emplace(team);
+    if (added) state->second.use = m_team_shares.UseOf(team);
+    if (!entry.job->beyond_rate) ++state->second.jobs_within_rate;
+  }
+  for (PlanningJob& entry : ranked) {
+    const TeamName& team = entry.job->definition()->team;
+    TeamState& state = teams.at(team);
+    // Which of a team's jobs arrived beyond its rate does not matter, only how many did.
+    const bool within_rate = state.jobs_within_rate > 0;
+    if (within_rate) --state.jobs_within_rate;
+    if (entry.rank.not_started != 0) {
+      entry.rank.beyond_rate = within_rate ? 0 : 1;
+      entry.rank.team_share = state.use / m_team_shares.WeightOf(team);
+    }
+    for (const auto& [number, occurrence] : entry.job->occurrences()) {
+      for (size_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (!Job::IsReady(occurrence.steps[step])) continue;
+        const StepSpec& spec = entry.job->spec(static_cast<int>(step));
+        const auto waiting =
+            std::count_if(occurrence.steps[step].tasks.begin(), occurrence.steps[step].tasks.end(),
+                          [&](const Task& task) { return NeedsPlacement(task, spec); });
+        state.use += m_team_shares.DominantShare(Times(spec.request, static_cast<int>(waiting)));
+      }
+    }
+  }
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [](const PlanningJob& a, const PlanningJob& b) { return a.rank < b.rank; });
+}
+
 Orders PoolScheduler::Plan(TimePoint now, const StartCost* cost) {
   m_plan_needed = false;
   m_cost = cost;
@@ -337,6 +414,12 @@
   std::vector<Candidate> candidates = MakeCandidates(now);
   Placer placer(candidates, now);
   UnplacedSteps unplaced;
+  if (m_team_quotas.has_limits()) m_team_quotas.BeginRound(UnresolvedCapacity());
+  if (m_team_shares.active()) {
+    Resources capacity;
+    for (const auto& [id, executor] : m_executors) capacity += executor.info.capacity;
+    m_team_shares.UpdateUse(m_team_quotas.used(), capacity, now);
+  }
   for (const PlanningJob& entry : RankJobs(now)) {
     Job& job = *entry.job;
     for (auto& [number, occurrence] : job.occurrences()) {
@@ -353,6 +436,11 @@
       }
     }
   }
+  if (m_team_quotas.has_limits()) {
+    Resources free;
+    for (const Candidate& candidate : candidates) free += candidate.free;
+    m_team_quotas.EndRound(free);
+  }
   m_cost = nullptr;
   m_wait_for_link = !unplaced.empty() ? m_budget.time_until_available() : Duration::zero();
   return std::exchange(m_orders, {});
@@ -378,6 +466,11 @@
     const bool free_of_runs = std::all_of(step.tasks.begin(), step.tasks.end(),
                                           [](const Task& task) { return task.runs.empty(); });
     if (!free_of_runs || step.tasks.front().done) return true;
+    const Resources whole = Times(spec.request, spec.replicas);
+    if (!m_team_quotas.Allows(job.definition()->team, whole)) {
+      HoldBack(job, id, whole);
+      return true;
+    }
     const auto executors = m_budget.available() ? placer.PlaceGang(placement) : std::nullopt;
     if (!executors) {
       m_waiting_cores += cores * spec.replicas;
@@ -395,6 +488,11 @@
   for (size_t i = 0; i < step.tasks.size(); ++i) {
     Task& task = step.tasks[i];
     if (!NeedsPlacement(task, spec)) continue;
+    if (!m_team_quotas.Allows(job.definition()->team, spec.request)) {
+      id.index = static_cast<int>(i);
+      HoldBack(job, id, spec.request);
+      continue;
+    }
     const bool may_send = placed_all && m_budget.available();
     ExecutorState* executor = may_send ? placer.Place(placement, task.avoided) : nullptr;
     if (!executor) {
@@ -415,7 +513,8 @@
   task.runs.push_back(
       {.id = run, .executor = executor.info.id, .ordered_at = now, .percent_changed_at = now});
   executor.runs.push_back({.job = &job, .task = id, .run = run});
-  executor.used += CountedRequest(job, id.step);
+  Charge(executor, job, id.step);
+  m_team_quotas.ForgetJob(job.id());
   job.MarkStarted();
   if (m_cost) m_budget.Spend(m_cost->BytesOf(*job.definition(), executor.info.id));
   const std::string& checkpoint =
