Bound the memory and connections that clients hold

Clients that left large or chunked bodies unfinished made a process exceed the memory of its machine.

One ClientBudget, derived from limits.memoryMb and limits.maxFds, is shared by all HTTP listeners of `citronferry fleet`. Memory for headers, bodies, what handlers make of them, and unread responses is taken from it; when it or the connections run short, idle connections and then the oldest unfinished exchanges are closed. Headers have a time limit and transfers a minimum rate as a whole. The kernel's buffers of each connection are bounded, and accepting is paused without room. Refusals are 503 with Retry-After, 413, 408 and 431, all before the handler sees the request.

--- a/src/fleet/entry/internal/client_service.cc
+++ b/src/fleet/entry/internal/client_service.cc
@@ -34,7 +34,8 @@
            .limits = {.max_header_bytes = kMaxHeaderBytes,
                       .max_body_bytes = kMaxBodyBytes,
                       .idle_timeout = kIdleTimeout},
-           .drain_timeout = kDrainTimeout},
+           .drain_timeout = kDrainTimeout,
+           .budget = context.client_budget},
           [this](http::Request request) { return Handle(std::move(request)); }) {}
 
 QCoro::Task<Ret> ClientService::Run() {
@@ -57,6 +58,7 @@
          {"configuration", m_context.configuration.Get().version}});
     co_return protocol.EncodeError(*error);
   }
+  request.body = {};  // Not needed while the call waits for the store.
   ClientCall call = std::get<ClientCall>(std::move(decoded));
   const TimePoint deadline = received_at + call.deadline;
   JobId job;
--- a/src/fleet/entry/internal/entry_servers.cc
+++ b/src/fleet/entry/internal/entry_servers.cc
@@ -23,7 +23,9 @@
 ChildSpec MakeServer(FleetContext& context, std::string name, const document::Endpoint& listener,
                      http::Handler handler) {
   const http::ServerOptions options{
-      .address = QHostAddress(QString::fromStdString(listener.address)), .port = listener.port};
+      .address = QHostAddress(QString::fromStdString(listener.address)),
+      .port = listener.port,
+      .budget = context.client_budget};
   return {.name = std::move(name), .factory = [&context, options, handler = std::move(handler)] {
             return std::make_unique<http::Server>(context.timers, options, handler);
           }};
--- a/src/fleet/fleet_context.h
+++ b/src/fleet/fleet_context.h
@@ -16,6 +16,7 @@
 #include "fleet/interfaces/instances.h"
 #include "fleet/interfaces/row_store.h"
 #include "http/client.h"
+#include "http/client_budget.h"
 #include "peering/keys.h"
 #include "supervision/observable.h"
 #include "supervision/timer_service.h"
@@ -98,6 +99,8 @@
   PlatformServices& platform;
   RelayClient* relays =
       nullptr;  ///< Makes the calls of platform.executors; nullptr if it has none.
+  /// Memory and connections of the clients of all HTTP servers; nullptr gives each server its own.
+  http::ClientBudget* client_budget = nullptr;
 
   Observable<Configuration> configuration;  ///< Version 0 until one has been read.
   /// When the request was sent that last showed that no newer configuration exists; empty before
--- a/src/fleet/internal/fleet_node.cc
+++ b/src/fleet/internal/fleet_node.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "fleet/entry/entry_servers.h"
+#include "fleet/internal/client_limit_reporter.h"
 #include "fleet/internal/traffic_meter.h"
 #include "fleet/pool/pools_service.h"
 #include "fleet/relay/relay_client.h"
@@ -27,6 +28,7 @@
 constexpr Duration kLogFlushInterval = 100ms;
 // Part of the shutdown grace time that is reserved for stopping the services.
 constexpr Duration kShutdownMargin = 2500ms;
+constexpr size_t kMegabyte = 1024 * 1024;
 
 // @param executors makes the calls that this entry relays.
 Supervisor MakeRoot(FleetContext& context, Executors& executors) {
@@ -69,6 +71,10 @@
                             .clients = platform.clients,
                             .http = platform.http};
   TrafficMeter traffic(*timers, metrics);
+  http::ClientBudget client_budget(
+      http::ClientBudget::DeriveLimits(static_cast<size_t>(options.memory_mb) * kMegabyte,
+                                       static_cast<size_t>(options.max_descriptors)));
+  const ClientLimitReporter limit_reporter(*timers, metrics, client_budget);
   if (platform.http) {
     platform.http->SetObserver(
         [&traffic](const http::ExchangeRecord& record) { traffic.Count(record); });
@@ -77,7 +83,8 @@
                        .timers = *timers,
                        .metrics = metrics,
                        .platform = services,
-                       .relays = &relays};
+                       .relays = &relays,
+                       .client_budget = &client_budget};
   context.store_answered_at = timers->Now();
   Subscription flush = timers->Subscribe(kLogFlushInterval, [] { FlushLog(); });
   Supervisor root = MakeRoot(context, platform.executors);
--- a/src/http/internal/message.cc
+++ b/src/http/internal/message.cc
@@ -24,6 +24,12 @@
   return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
 
+size_t CountHeader(const Headers& headers, std::string_view name) {
+  return static_cast<size_t>(std::count_if(
+      headers.begin(), headers.end(),
+      [name](const Header& header) { return EqualsIgnoringCase(header.name, name); }));
+}
+
 std::string PercentEncode(std::string_view text) {
   return QUrl::toPercentEncoding(
              QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size())))
--- a/src/http/internal/server.cc
+++ b/src/http/internal/server.cc
@@ -1,109 +1,81 @@
 #include "http/server.h"
 
-#include <QAbstractHttpServer>
-#include <QHttpServerRequest>
+#include <sys/socket.h>
+
 #include <QSslSocket>
 #include <QTcpServer>
-#include <unordered_map>
 
 #include "http/internal/connection.h"
+#include "http/internal/connection_limits.h"
 #include "telemetry/log.h"
 
 namespace citronferry::http {
-
-/// Creates the socket of each accepted connection and passes it to a callback before the HTTP
-/// parser reads from it.
-class Server::Listener : public QTcpServer {
- public:
-  using SocketCallback = std::function<void(QTcpSocket&)>;
-
-  Listener(const ServerOptions& options, SocketCallback socket_callback)
-      : m_options(options), m_socket_callback(std::move(socket_callback)) {}
-
- protected:
-  void incomingConnection(qintptr descriptor) override {
-    // A QSslSocket loads the TLS libraries, which take memory, so plain-text connections use a
-    // QTcpSocket.
-    std::unique_ptr<QTcpSocket> socket(m_options.tls ? new QSslSocket : new QTcpSocket);
-    if (!socket->setSocketDescriptor(descriptor)) return;
-    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    if (m_options.tls) {
-      auto* encrypted = static_cast<QSslSocket*>(socket.get());
-      encrypted->setSslConfiguration(*m_options.tls);
-      encrypted->startServerEncryption();
+namespace {
+
+// Accepted sockets inherit the options.
+void BoundKernelBuffers(qintptr descriptor) {
+  for (const int option : {SO_RCVBUF, SO_SNDBUF}) {
+    const int size = kSocketBufferBytes;
+    if (setsockopt(static_cast<int>(descriptor), SOL_SOCKET, option, &size, sizeof(size)) != 0) {
+      Log(LogLevel::kWarning, "socket_buffer_unbounded", {{"option", option}});
     }
-    m_socket_callback(*socket);
-    addPendingConnection(socket.release());
   }
+}
 
- private:
-  const ServerOptions& m_options;
-  SocketCallback m_socket_callback;
-};
-
-/// Starts a task for each connection and queues the requests that Qt has parsed for it.
-class Server::Acceptor : public QAbstractHttpServer {
- public:
-  explicit Acceptor(Server& server) : m_server(server) {}
-
-  void Register(QTcpSocket& socket) {
-    if (m_connections.size() >= m_server.m_options.limits.max_connections) {
-      socket.abort();
-      return;
-    }
-    auto connection = std::make_shared<Connection>(socket, m_server.m_options.limits);
-    m_connections.emplace(&socket, connection);
-    QObject::connect(&socket, &QObject::destroyed, this,
-                     [this, key = &socket] { m_connections.erase(key); });
-    m_server.m_tasks.Spawn(
-        [this, connection]() -> QCoro::Task<void> { return m_server.ServeConnection(connection); });
+std::unique_ptr<QTcpSocket> OpenSocket(qintptr descriptor,
+                                       const std::optional<QSslConfiguration>& tls) {
+  // A QSslSocket loads the TLS libraries, which take memory, so plain-text connections use a
+  // QTcpSocket.
+  std::unique_ptr<QTcpSocket> socket(tls ? new QSslSocket : new QTcpSocket);
+  if (!socket->setSocketDescriptor(descriptor)) return nullptr;
+  socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  if (tls) {
+    auto* encrypted = static_cast<QSslSocket*>(socket.get());
+    encrypted->setSslConfiguration(*tls);
+    encrypted->startServerEncryption();
   }
+  return socket;
+}
 
-  void CloseInputs() {
-    const auto connections = m_connections;
-    for (const auto& [socket, connection] : connections) connection->CloseInput();
-  }
+}  // namespace
 
- protected:
-  bool handleRequest(const QHttpServerRequest& request, QTcpSocket* socket) override {
-    const auto found = m_connections.find(socket);
-    if (found == m_connections.end()) return true;
-    PendingRequest pending{
-        .request = CopyRequest(request),
-        .responder = std::make_unique<QHttpServerResponder>(makeResponder(request, socket))};
-    pending.close_after = FindHeader(pending.request.headers, "Connection") == "close";
-    if (found->second->Enqueue(std::move(pending))) {
-      ++m_server.m_in_flight;
-    } else {
-      socket->disconnectFromHost();
-    }
-    return true;
+/// Passes the descriptor of each accepted connection to the server.
+class Server::Listener : public QTcpServer {
+ public:
+  explicit Listener(Server& server) : m_server(server) {
+    // Qt pauses accepting itself when accept fails, such as for want of descriptors.
+    QObject::connect(this, &QTcpServer::acceptError, this, [this] { m_server.PauseAccepting(); });
   }
 
-  void missingHandler(const QHttpServerRequest&, QTcpSocket* socket) override { socket->abort(); }
+ protected:
+  void incomingConnection(qintptr descriptor) override { m_server.Accept(descriptor); }
 
  private:
   Server& m_server;
-  std::unordered_map<QObject*, std::shared_ptr<Connection>> m_connections;
 };
 
 Server::Server(TimerService& timers, ServerOptions options, Handler handler)
-    : m_timers(timers), m_options(std::move(options)), m_handler(std::move(handler)) {}
+    : m_timers(timers),
+      m_options(std::move(options)),
+      m_handler(std::move(handler)),
+      m_own_budget(m_options.budget
+                       ? nullptr
+                       : std::make_unique<ClientBudget>(ClientBudget::DeriveLimits(0, 0))),
+      m_budget(m_options.budget ? *m_options.budget : *m_own_budget) {}
 
 Server::~Server() = default;
 
 Ret Server::Listen() {
-  m_acceptor = std::make_unique<Acceptor>(*this);
-  m_listener =
-      new Listener(m_options, [this](QTcpSocket& socket) { m_acceptor->Register(socket); });
+  m_listener = std::make_unique<Listener>(*this);
   if (!m_listener->listen(m_options.address, m_options.port)) {
     const std::string reason = m_listener->errorString().toStdString();
-    delete std::exchange(m_listener, nullptr);
+    m_listener.reset();
     return {ErrorCode::kUnavailable, "cannot listen on " +
                                          m_options.address.toString().toStdString() + ":" +
                                          std::to_string(m_options.port) + ": " + reason};
   }
-  m_acceptor->bind(m_listener);
+  BoundKernelBuffers(m_listener->socketDescriptor());
+  m_ticks = m_timers.Subscribe(kConnectionTick, [this] { OnTick(); });
   return MakeOk();
 }
 
@@ -118,30 +90,48 @@
   Subscription stop = m_stop.Subscribe([&] { stopped.Close(); });
   co_await stopped.Next();
   m_listener->close();
-  m_acceptor->CloseInputs();
+  for (Connection* connection : m_connections) connection->CloseInput();
   co_return co_await m_tasks.Join(m_timers, m_options.drain_timeout);
 }
 
+void Server::Accept(qintptr descriptor) {
+  // QTcpServer accepts all connections of the backlog in one go. Those beyond the budget are served
+  // as well; the budget's limits leave room for the backlogs.
+  if (!m_budget.Admit()) PauseAccepting();
+  std::unique_ptr<QTcpSocket> socket = OpenSocket(descriptor, m_options.tls);
+  if (!socket) return;
+  auto connection = std::make_shared<Connection>(std::move(socket), m_options.limits, m_budget);
+  m_tasks.Spawn([this, connection]() -> QCoro::Task<void> { return ServeConnection(connection); });
+}
+
+void Server::PauseAccepting() {
+  if (std::exchange(m_paused, true)) return;
+  m_budget.Count(ClientLimitEvent::kPausedAccepting);
+  m_listener->pauseAccepting();
+}
+
+void Server::OnTick() {
+  for (Connection* connection : m_connections) connection->Tick();
+  if (!m_paused || !m_budget.Admit() || m_stop.requested()) return;
+  m_paused = false;
+  m_listener->resumeAccepting();
+}
+
 QCoro::Task<void> Server::ServeConnection(std::shared_ptr<Connection> connection) {
-  while (auto pending = co_await connection->Next(m_timers, m_options.limits.idle_timeout)) {
-    Response response;
-    const std::optional<std::string> framing_error = FindFramingError(pending->request);
-    if (framing_error) {
-      response = MakeErrorResponse(400, "invalid_framing", *framing_error);
-    } else {
-      response = co_await m_handler(std::move(pending->request));
-    }
-    const bool close = pending->close_after || framing_error || m_stop.requested();
-    connection->Write(*pending, response, close && (framing_error || connection->queued() == 0));
-    --m_in_flight;
-    if (framing_error) break;
-  }
-  connection->CloseInput();
-  while (connection->queued() > 0) {
-    co_await connection->Next(m_timers, Duration::zero());
+  m_connections.insert(connection.get());
+  while (co_await connection->ReadRequest()) {
+    if (!connection->ReserveForHandling()) break;
+    ++m_in_flight;
+    Request request = connection->TakeRequest();
+    const Response response = co_await m_handler(std::move(request));
+    const bool close =
+        !connection->keep_alive() || (m_stop.requested() && !connection->has_pipelined());
+    const bool written = co_await connection->WriteResponse(response, close);
     --m_in_flight;
+    if (!written || close) break;
   }
-  connection->Disconnect();
+  co_await connection->Close();
+  m_connections.erase(connection.get());
 }
 
 }  // namespace citronferry::http
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -24,6 +24,9 @@
 /// absent.
 std::string_view FindHeader(const Headers& headers, std::string_view name);
 
+/// @return the number of headers with this name, compared case-insensitively.
+size_t CountHeader(const Headers& headers, std::string_view name);
+
 /// A request as received by Server.
 struct Request {
   std::string method;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -6,8 +6,10 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <unordered_set>
 
 #include "base/ret.h"
+#include "http/client_budget.h"
 #include "http/message.h"
 #include "supervision/supervisor.h"
 #include "supervision/task_scope.h"
@@ -17,11 +19,16 @@
 struct ServerLimits {
   qint64 max_header_bytes = 16 * 1024;
   qint64 max_body_bytes = 1024 * 1024;
-  size_t max_connections = 2048;
-  size_t max_pipelined_requests = 16;
-  /// Longest time between two complete requests of a connection; also disconnects slow
-  /// senders.
+  /// Longest time without any byte of a request.
   Duration idle_timeout = 60s;
+  /// Longest time from the first byte of a request to the end of its header block. Clients may take
+  /// 3 s.
+  Duration header_timeout = 6s;
+  /// Time that every transfer may take, in addition to its bytes at the lowest rate. It covers the
+  /// pause of 15 s that clients may make.
+  Duration transfer_grace = 16s;
+  /// Lowest rate of a body, and of a response that is read, as a whole.
+  qint64 min_bytes_per_second = 16 * 1024;
 };
 
 struct ServerOptions {
@@ -30,6 +37,9 @@
   ServerLimits limits;
   std::optional<QSslConfiguration> tls;
   Duration drain_timeout = 30s;  ///< Longest wait for requests in flight when stopping.
+  /// Memory and connections of clients, shared with the other servers of the process; it must
+  /// outlive the server. Without one, the server has a budget of its own.
+  ClientBudget* budget = nullptr;
 };
 
 class Connection;
@@ -38,7 +48,9 @@
 using Handler = std::function<QCoro::Task<Response>(Request)>;
 
 /// HTTP server with one task for each connection. The task answers the requests of its connection
-/// in order of arrival.
+/// in order of arrival. What a client may hold is bounded by ServerLimits and a ClientBudget.
+/// @note The responses 408, 413, 431 and 503 of the server itself mean that the handler did not see
+///   the request.
 class Server : public Service {
  public:
   /// @param handler may suspend; what it refers to must outlive the server.
@@ -59,19 +71,27 @@
 
  private:
   class Listener;
-  class Acceptor;
-  friend class Acceptor;
 
+  /// Starts the task of a connection, or pauses accepting if there is no room for it.
+  void Accept(qintptr descriptor);
   QCoro::Task<void> ServeConnection(std::shared_ptr<Connection> connection);
+  /// Stops accepting until there is room.
+  void PauseAccepting();
+  /// Advances the timeouts of the connections, and accepts again if there is room.
+  void OnTick();
 
   TimerService& m_timers;
   ServerOptions m_options;
   Handler m_handler;
+  std::unique_ptr<ClientBudget> m_own_budget;
+  ClientBudget& m_budget;
   StopSignal m_stop;
+  std::unordered_set<Connection*> m_connections;
   TaskScope m_tasks;
   size_t m_in_flight = 0;
-  std::unique_ptr<Acceptor> m_acceptor;
-  Listener* m_listener = nullptr;  // Owned by the acceptor.
+  bool m_paused = false;
+  std::unique_ptr<Listener> m_listener;
+  Subscription m_ticks;
 };
 
 }  // namespace citronferry::http
--- a/src/http/tests/server_test.cc
+++ b/src/http/tests/server_test.cc
@@ -14,10 +14,11 @@
  protected:
   ServerTest() { TestApplication(); }
 
-  void Start(Handler handler, ServerLimits limits = {}) {
+  void Start(Handler handler, ServerLimits limits = {}, ClientBudget* budget = nullptr) {
     m_server = std::make_unique<Server>(
         *m_timers,
-        ServerOptions{.address = QHostAddress(QHostAddress::LocalHost), .limits = limits},
+        ServerOptions{
+            .address = QHostAddress(QHostAddress::LocalHost), .limits = limits, .budget = budget},
         std::move(handler));
     ASSERT_TRUE(m_server->Listen().ok());
     m_tasks.Spawn([this]() -> QCoro::Task<void> { m_stopped = co_await m_server->Run(); });
@@ -42,6 +43,8 @@
     return received;
   }
 
+  // Before the server, which refers to it.
+  ClientBudget m_budget{{.max_bytes = 400 * 1024, .max_connections = 4}};
   std::unique_ptr<TimerService> m_timers = MakeQtTimerService();
   TaskScope m_tasks;
   std::optional<Ret> m_stopped;
@@ -134,6 +137,102 @@
   EXPECT_EQ(handled, 0);
 }
 
+// A body with a coding other than "chunked" has no end that the load balancer and the server agree
+// on.
+TEST_F(ServerTest, BodyWithAnotherCodingIsRefused) {
+  Start(Echo);
+  const auto socket = Connect();
+  socket->write("POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\nabc");
+  EXPECT_TRUE(ReadUntil(*socket, "invalid_framing").startsWith("HTTP/1.1 400"));
+}
+
+// A body over the limit must be refused before any of it is sent.
+TEST_F(ServerTest, AnnouncedBodyOverTheLimitIsRefusedAtOnce) {
+  Start(Echo, {.max_header_bytes = 1024, .max_body_bytes = 4096});
+  const auto socket = Connect();
+  socket->write("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 4097\r\n\r\n");
+  EXPECT_TRUE(ReadUntil(*socket, "\r\n\r\n").startsWith("HTTP/1.1 413"));
+}
+
+// Chunks that arrive in parts, and a request that follows in the same segment, must not be lost.
+TEST_F(ServerTest, ChunkedBodyInPartsIsJoined) {
+  Start(Echo);
+  const auto socket = Connect();
+  socket->write("POST /a%20b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab");
+  EXPECT_TRUE(ProcessEventsUntil([&] { return socket->bytesToWrite() == 0; }));
+  socket->write("c\r\n2\r\nde\r\n0\r\n\r\nGET /next HTTP/1.1\r\nHost: x\r\n\r\n");
+  const QByteArray received = ReadUntil(*socket, "/next");
+  EXPECT_TRUE(received.contains("/a babcde")) << received.toStdString();
+}
+
+// Requests that never end must not keep others out: 503 says that the request was not accepted.
+TEST_F(ServerTest, RequestBeyondTheBudgetIsRefused) {
+  int handled = 0;
+  Start(
+      [&](Request request) -> QCoro::Task<Response> {
+        ++handled;
+        return Echo(std::move(request));
+      },
+      {}, &m_budget);
+  const auto socket = Connect();
+  socket->write("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 500000\r\n\r\n");
+  socket->write(QByteArray(499999, 'a'));
+  const QByteArray received = ReadUntil(*socket, "not accepted");
+  EXPECT_TRUE(received.startsWith("HTTP/1.1 503")) << received.toStdString();
+  EXPECT_TRUE(received.contains("Retry-After"));
+  socket->abort();
+  EXPECT_TRUE(ProcessEventsUntil([&] { return m_budget.used_bytes() == 0; }));
+  EXPECT_EQ(handled, 0);
+}
+
+// A request whose header never ends must not stay forever.
+TEST_F(ServerTest, UnfinishedHeaderTimesOut) {
+  Start(Echo, {.header_timeout = 500ms}, &m_budget);
+  const auto socket = Connect();
+  socket->write("GET /x HTTP/1.1\r\nHost:");
+  EXPECT_TRUE(ReadUntil(*socket, "\r\n\r\n").startsWith("HTTP/1.1 408"));
+  EXPECT_EQ(m_budget.count(ClientLimitEvent::kRefusedSlow), 1u);
+}
+
+// A body that arrives byte by byte must not hold memory forever.
+TEST_F(ServerTest, SlowBodyTimesOut) {
+  Start(Echo, {.transfer_grace = 500ms}, &m_budget);
+  const auto socket = Connect();
+  socket->write("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\nabc");
+  EXPECT_TRUE(ReadUntil(*socket, "\r\n\r\n").startsWith("HTTP/1.1 408"));
+}
+
+// Without a bound, idle connections use up the descriptors of the process.
+TEST_F(ServerTest, NewConnectionReplacesTheLongestIdleOne) {
+  Start(Echo, {}, &m_budget);
+  std::vector<std::unique_ptr<QTcpSocket>> sockets;
+  for (int i = 0; i < 5; ++i) {
+    sockets.push_back(Connect());
+    EXPECT_TRUE(ProcessEventsUntil(
+        [&] { return m_budget.connections() == std::min<size_t>(sockets.size(), 4); }));
+  }
+  EXPECT_TRUE(
+      ProcessEventsUntil([&] { return sockets[0]->state() == QAbstractSocket::UnconnectedState; }));
+  sockets[4]->write("GET /last HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_TRUE(ReadUntil(*sockets[4], "/last").startsWith("HTTP/1.1 200"));
+}
+
+// A client that does not read its response must not hold the memory of more than one.
+TEST_F(ServerTest, UnreadResponseIsChargedAndEnds) {
+  Start(
+      [](Request) -> QCoro::Task<Response> {
+        co_return Response{.body = QByteArray(8'000'000, 'a')};
+      },
+      {.transfer_grace = 0ms, .min_bytes_per_second = 16'000'000}, &m_budget);
+  const auto socket = Connect();
+  socket->setReadBufferSize(1);
+  socket->write(QByteArray("GET / HTTP/1.1\r\nHost: x\r\n\r\n").repeated(3));
+  EXPECT_TRUE(ProcessEventsUntil([&] { return m_budget.used_bytes() > 8'000'000; }));
+  EXPECT_LT(m_budget.used_bytes(), 16'000'000u);
+  EXPECT_TRUE(ProcessEventsUntil([&] { return m_budget.used_bytes() == 0; }));
+  EXPECT_EQ(m_budget.count(ClientLimitEvent::kClosedUnreadResponse), 1u);
+}
+
 // A graceful shutdown must not abort a request in flight.
 TEST_F(ServerTest, StopWaitsForRequestsInFlight) {
   Start([this](Request request) -> QCoro::Task<Response> {
