Close relay connections that do not authenticate themselves

Cause: ZeroMQ keeps a connection without a complete handshake for 30 s, with up to one message of 1 MB, and leaves the kernel's receive buffer to its own sizing. Messages and queues are bounded already (1 MB, 1,024 for each connection), and nothing is queued before a peer has authenticated itself.

Change: the listener closes such a connection after 5 s, and bounds its receive buffer.

--- a/src/peering/internal/transport.cc
+++ b/src/peering/internal/transport.cc
@@ -14,6 +14,11 @@
 // Messages queued for one connection. Only documents are large, and they are rare.
 constexpr int kHighWaterMark = 64;
 constexpr int kListenerHighWaterMark = 1024;
+// ZeroMQ keeps a connection that does not authenticate itself for 30 s by default, with up to one
+// message of the largest size.
+constexpr Duration kHandshakeTimeout = 5s;
+// Receive buffer of the kernel for each accepted connection, which doubles it.
+constexpr int kReceiveBufferBytes = 64 * 1024;
 constexpr char kDomain[] = "citronferry";
 
 }  // namespace
@@ -55,6 +60,8 @@
     zmq::socket_t& socket = listener->socket();
     ApplyOptions(socket, kListenerHighWaterMark);
     socket.set(zmq::sockopt::router_mandatory, true);
+    socket.set(zmq::sockopt::handshake_ivl, static_cast<int>(ToMilliseconds(kHandshakeTimeout)));
+    socket.set(zmq::sockopt::rcvbuf, kReceiveBufferBytes);
     if (m_options.keys) {
       socket.set(zmq::sockopt::curve_server, true);
       socket.set(zmq::sockopt::curve_secretkey, m_options.keys->secret_key);
--- a/src/peering/tests/transport_test.cc
+++ b/src/peering/tests/transport_test.cc
@@ -216,5 +216,17 @@
   EXPECT_EQ(transport.Listen().code(), ErrorCode::kInvalidArgument);
 }
 
+// A connection that never completes the handshake must not hold memory and a descriptor for long.
+TEST(TransportTest, ConnectionWithoutHandshakeIsClosed) {
+  Node listener("listener", GenerateKeys());
+  QTcpSocket stranger;
+  stranger.connectToHost(QHostAddress(QHostAddress::LocalHost), listener.transport().port());
+  EXPECT_TRUE(
+      ProcessEventsUntil([&] { return stranger.state() == QAbstractSocket::ConnectedState; }));
+  stranger.write(QByteArray::fromHex("ff00000000000000017f"));  // Start of the ZMTP greeting.
+  EXPECT_TRUE(
+      ProcessEventsUntil([&] { return stranger.state() == QAbstractSocket::UnconnectedState; }));
+}
+
 }  // namespace
 }  // namespace citronferry::peering
