--- a/src/fleet/entry/internal/client_service.cc
+++ b/src/fleet/entry/internal/client_service.cc
@@ -35,7 +35,8 @@
            .limits = {.max_header_bytes = kMaxHeaderBytes,
                       .max_body_bytes = kMaxBodyBytes,
                       .idle_timeout = kIdleTimeout},
-           .drain_timeout = kDrainTimeout},
+           .drain_timeout = kDrainTimeout,
+           .budget = context.client_budget},
           [this](http::Request request) { return Handle(std::move(request)); }) {}
 
 QCoro::Task<Ret> ClientService::Run() {
@@ -59,6 +60,7 @@
   const auto& accepted = std::get<CallHead>(head);
   auto action = protocol.Decode(request, accepted);
   if (const auto* error = std::get_if<CallError>(&action)) co_return Reject(request, *error);
+  request.body = {};  // Not needed while the call waits for the store.
   ClientCall call{.queue = accepted.queue->policy,
                   .team = std::get<TeamName>(std::move(caller)),
                   .deadline = accepted.deadline,
