Ignore trailers of chunked requests

Cause: the parser passes trailer fields on like header fields, so a client could add headers after the load balancer has checked them, and their memory was not taken from the budget.

Change: fields after the header block are dropped.

--- a/src/http/internal/connection.cc
+++ b/src/http/internal/connection.cc
@@ -263,7 +263,7 @@
   // header block or of a chunk header, which the parser takes only as a whole.
   const size_t charged = bytes.size() > kReadAheadBytes ? bytes.size() - kReadAheadBytes : 0;
   if (bytes.size() > static_cast<size_t>(m_limits.max_header_bytes) + kReadAheadBytes) {
-    Refuse({.status = 431, .code = "header_too_large", .event = ClientLimitEvent::kRefusedHeader});
+    Refuse(kHeaderTooLarge);
     return;
   }
   if (charged > m_charged_unparsed) {
--- a/src/http/internal/request_parser.cc
+++ b/src/http/internal/request_parser.cc
@@ -20,9 +20,6 @@
                              ClientLimitEvent::kRefusedMalformed};
 constexpr Refusal kBodyTooLarge{413, "body_too_large", "not accepted; the body is over the limit",
                                 ClientLimitEvent::kRefusedBody};
-constexpr Refusal kHeaderTooLarge{431, "header_too_large",
-                                  "not accepted; the header block is over the limit",
-                                  ClientLimitEvent::kRefusedHeader};
 
 struct RefusalRule {
   beast::http::error error;
@@ -99,6 +96,8 @@
 
 void RequestParser::on_field_impl(beast::http::field, string_view name, string_view value,
                                   error_code&) {
+  // Trailers of a chunked body have passed neither the load balancer's checks nor the budget.
+  if (is_header_done()) return;
   m_header_bytes += sizeof(Header) + name.size() + value.size();
   m_request.headers.push_back({std::string(View(name)), std::string(View(value))});
 }
--- a/src/http/internal/request_parser.h
+++ b/src/http/internal/request_parser.h
@@ -20,6 +20,9 @@
 
 inline constexpr Refusal kOutOfMemory{503, "overloaded", "not accepted; try again later",
                                       ClientLimitEvent::kRefusedForMemory};
+inline constexpr Refusal kHeaderTooLarge{431, "header_too_large",
+                                         "not accepted; the header block is over the limit",
+                                         ClientLimitEvent::kRefusedHeader};
 inline constexpr Refusal kTooSlow{408, "too_slow", "not accepted; the request took too long",
                                   ClientLimitEvent::kRefusedSlow};
 
