Place tasks by the speed of executors and copy stragglers

Slow executors are the last resort for tasks that decide the end of their job; of other tasks they take a share inversely proportional to their slowness. They are never excluded for it.

A run that has lasted longer than 95 % of its kind, and of which more time is expected to be left than a new run takes, gets a second run where the step allows copies and no task waits. At most one task in twenty of those that run has such a copy. The time of the overtaken run is learned as well, since the tail would be lost otherwise.

--- a/src/decisions/scheduling/internal/placement.cc
+++ b/src/decisions/scheduling/internal/placement.cc
@@ -29,6 +29,16 @@
   return count;
 }
 
+bool Placer::IsLastResort(const Candidate& candidate, const StepPlacement& placement) {
+  if (candidate.slowness <= 1 || placement.spec.long_running) return false;
+  if (placement.decides_end) return true;
+  const auto capacity = static_cast<double>(candidate.executor->info.capacity.cpu_millicores);
+  const auto used =
+      static_cast<double>(candidate.executor->info.capacity.cpu_millicores -
+                          candidate.free.cpu_millicores + Counted(placement.spec).cpu_millicores);
+  return used > capacity / candidate.slowness;
+}
+
 bool Placer::Allows(const Candidate& candidate, const StepPlacement& placement) const {
   const StepSpec& spec = placement.spec;
   const ExecutorDescription& info = candidate.executor->info;
@@ -86,15 +96,17 @@
   const Resources request = Counted(spec);
   const RackName rack = RequiredRack(placement);
   Candidate* best = nullptr;
-  bool best_avoided = false;
+  int best_reluctance = 0;
   for (Candidate& candidate : m_candidates) {
     if (candidate.reserved && !spec.long_running) continue;
     if (!Fits(request, candidate.free)) continue;
     if (!rack.empty() && candidate.executor->info.rack != rack) continue;
     if (!Allows(candidate, placement)) continue;
-    const bool is_avoided = candidate.executor->info.id == avoided;
-    if (best && is_avoided != best_avoided) {
-      if (is_avoided) continue;
+    const int reluctance = candidate.executor->info.id == avoided ? 2
+                           : IsLastResort(candidate, placement)   ? 1
+                                                                  : 0;
+    if (best && reluctance != best_reluctance) {
+      if (reluctance > best_reluctance) continue;
     } else if (best) {
       const bool better =
           spec.uses_leftover_cpu ? candidate.free.cpu_millicores > best->free.cpu_millicores
@@ -104,7 +116,7 @@
       if (!better) continue;
     }
     best = &candidate;
-    best_avoided = is_avoided;
+    best_reluctance = reluctance;
   }
   if (!best) return nullptr;
   best->free -= request;
@@ -125,7 +137,8 @@
     ExecutorState* executor = Place({.spec = placement.spec,
                                      .step = tentative,
                                      .ready_since = placement.ready_since,
-                                     .needs_ticket = placement.needs_ticket},
+                                     .needs_ticket = placement.needs_ticket,
+                                     .decides_end = placement.decides_end},
                                     {});
     if (!executor) {
       m_candidates = before;
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -13,6 +13,8 @@
 constexpr Duration kUnlistedGracePeriod = 5s;
 // Number of steps without capacity, in rank order, after which the pool is considered full.
 constexpr int kMaxUnplacedSteps = 40;
+// Stragglers have run for some times their expected time, so they are found soon enough.
+constexpr Duration kStragglerInterval = 500ms;
 
 }  // namespace
 
@@ -199,6 +201,11 @@
     job.OpenOccurrences(unix_ms);
     m_plan_needed |= job.occurrences().size() != before;
   }
+  // A run becomes a straggler without any event.
+  if (m_durations->knows_stragglers() && now - m_stragglers_sought_at >= kStragglerInterval) {
+    m_stragglers_sought_at = now;
+    m_seek_stragglers = m_plan_needed = true;
+  }
   RemoveEndedExecutors(now);
   ExpireFinalJobs(now);
 }
@@ -253,7 +260,8 @@
     candidates.push_back({.executor = &executor,
                           .free = executor.free(),
                           .free_when_drained = executor.info.capacity - LongRunningUse(executor),
-                          .long_running_tasks = executor.long_running_tasks()});
+                          .long_running_tasks = executor.long_running_tasks(),
+                          .slowness = m_durations->SlownessOf(executor.info)});
   }
   return candidates;
 }
@@ -313,6 +321,8 @@
       }
     }
   }
+  const bool nothing_waits = unplaced_steps == 0 && m_waiting_cores == 0;
+  if (std::exchange(m_seek_stragglers, false) && nothing_waits) CopyStragglers(placer, now);
   m_cost = nullptr;
   m_wait_for_link = unplaced_steps > 0 ? m_budget.time_until_available() : Duration::zero();
   return std::exchange(m_orders, {});
@@ -323,10 +333,14 @@
   Step& step = job.occurrences().at(occurrence).steps[static_cast<size_t>(step_index)];
   const StepSpec& spec = job.spec(step_index);
   if (!step.ready_since) step.ready_since = now;
-  const StepPlacement placement{.spec = spec,
-                                .step = step,
-                                .ready_since = *step.ready_since,
-                                .needs_ticket = PolicyOf(job).needs_advice};
+  const StepPlacement placement{
+      .spec = spec,
+      .step = step,
+      .ready_since = *step.ready_since,
+      .needs_ticket = PolicyOf(job).needs_advice,
+      .decides_end =
+          m_durations->any_slow() && DecidesEnd(*job.definition(), job.occurrences().at(occurrence),
+                                                step_index, *m_durations)};
   // Executors reject a start without a valid ticket.
   if (placement.needs_ticket && (!step.tickets_valid_until || *step.tickets_valid_until <= now)) {
     return true;
@@ -343,7 +357,7 @@
       m_waiting_cores += cores * spec.replicas;
       return false;
     }
-    const int64_t run = (m_options.epoch << kRunNumberBits) + ++m_last_run_number;
+    const int64_t run = NextRun();
     for (size_t i = 0; i < step.tasks.size(); ++i) {
       id.index = static_cast<int>(i);
       Start(job, id, step.tasks[i], *(*executors)[i], run, now);
@@ -364,12 +378,16 @@
       continue;
     }
     id.index = static_cast<int>(i);
-    const int64_t run = (m_options.epoch << kRunNumberBits) + ++m_last_run_number;
+    const int64_t run = NextRun();
     Start(job, id, task, *executor, run, now);
   }
   return placed_all;
 }
 
+int64_t PoolScheduler::NextRun() {
+  return (m_options.epoch << kRunNumberBits) + ++m_last_run_number;
+}
+
 void PoolScheduler::Start(Job& job, const TaskId& id, Task& task, ExecutorState& executor,
                           int64_t run, TimePoint now) {
   task.runs.push_back(
--- a/src/decisions/scheduling/internal/ranking.cc
+++ b/src/decisions/scheduling/internal/ranking.cc
@@ -12,6 +12,9 @@
 // Multiple of the objective after which a job has no value left.
 constexpr int kLateFactor = 3;
 
+// Estimates are off by a tenth, so a chain that is shorter by less may be the longest one.
+constexpr double kDecisiveChainShare = 0.9;
+
 // Predicted durations change by only a few percent in this time.
 constexpr Duration kMaxEstimateAge = 100ms;
 
@@ -96,6 +99,26 @@
   return work;
 }
 
+bool DecidesEnd(const JobDefinition& definition, const Occurrence& occurrence, int step,
+                const DurationModel& durations) {
+  if (definition.steps.size() == 1) return true;
+  // Steps follow only earlier ones, so the chains are known from the last step on.
+  std::vector<Duration> chains(definition.steps.size());
+  Duration longest{};
+  for (size_t i = definition.steps.size(); i-- > 0;) {
+    const StepSpec& spec = definition.steps[i];
+    if (occurrence.steps[i].done_tasks < spec.replicas) {
+      chains[i] += durations.Predict(definition.queue, spec).Mean();
+    }
+    longest = std::max(longest, chains[i]);
+    for (const int before : spec.after) {
+      Duration& chain = chains[static_cast<size_t>(before)];
+      chain = std::max(chain, chains[i]);
+    }
+  }
+  return chains[static_cast<size_t>(step)] >= FromSeconds(ToSeconds(longest) * kDecisiveChainShare);
+}
+
 Duration JobRanking::Objective(const JobDefinition& definition, const QueuePolicy& queue) const {
   const Duration chain = EstimateWhole(definition, m_durations).longest_chain;
   return FromSeconds(ToSeconds(chain) * queue.latency_multiplier) + queue.target_latency;
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -108,9 +108,18 @@
   const StepSpec& spec = job.spec(ended.task.step);
   const Task& task = *job.FindTask(ended.task);
   executor.health.RecordDone();
+  const auto other = std::find_if(task.runs.begin(), task.runs.end(), [&](const Run& candidate) {
+    return candidate.id != ended.run && !candidate.adopted;
+  });
   if (spec.long_running || task.done || job.is_final()) return;
   if (run && !run->adopted && task.checkpoint.empty()) {
     m_durations->Learn(*job.definition(), spec, executor.info, now - run->ordered_at, now);
+    // The time of a run that its copy overtook is at least this, and the tail must not be lost.
+    if (other != task.runs.end() && other->ordered_at < run->ordered_at) {
+      if (const ExecutorState* slower = FindExecutor(other->executor)) {
+        m_durations->Learn(*job.definition(), spec, slower->info, now - other->ordered_at, now);
+      }
+    }
   }
   // Stops copies, and runs that were started before this end was reported.
   if (!spec.gang_scheduled) StopOtherRuns(job, ended.task, ended.run, now);
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -63,6 +63,7 @@
   Note("executor_restarted", {}, 0, id);
   executor.info.incarnation_unix_ms = incarnation_unix_ms;
   executor.applied_end = executor.durable_end = 0;
+  m_durations->run_times().executors().Forget(id.view());
   executor.link_durable = false;
   executor.reported = false;
   m_dirty_links.insert(id);
--- a/src/decisions/scheduling/placement.h
+++ b/src/decisions/scheduling/placement.h
@@ -20,6 +20,7 @@
   Resources free_when_drained;  ///< Once all tasks that are not long-running have ended.
   int long_running_tasks = 0;
   bool reserved = false;  ///< Kept for a long-running task that does not fit yet.
+  double slowness = 1;    ///< Factor by which the executor is slower than the pool.
 };
 
 /// Placement constraints of a step.
@@ -28,6 +29,7 @@
   const Step& step;
   TimePoint ready_since{};
   bool needs_ticket = false;  ///< Only executors with a ticket in step may be used.
+  bool decides_end = false;   ///< The end of the job depends on this step.
 };
 
 /// Chooses executors for tasks during one planning round.
@@ -40,7 +42,7 @@
 
   /// Chooses an executor for one task and allocates the capacity.
   /// @param placement the constraints of the task's step.
-  /// @param avoided executor to use only if there is no other.
+  /// @param avoided executor to use only if there is no other, not even a slow one.
   /// @return nullptr if the task does not fit on any executor.
   ExecutorState* Place(const StepPlacement& placement, const ExecutorId& avoided);
   /// Chooses executors for all tasks of a gang-scheduled step, or for none.
@@ -53,6 +55,11 @@
   void Reserve(const StepPlacement& placement);
 
  private:
+  /// @return whether a candidate is used only if there is no other: it is slow, and the task
+  /// decides
+  ///   the end of its job or the executor has its share of other tasks, which is inversely
+  ///   proportional to its slowness.
+  static bool IsLastResort(const Candidate& candidate, const StepPlacement& placement);
   bool Allows(const Candidate& candidate, const StepPlacement& placement) const;
   /// @return the rack to which the tasks are restricted for now, or empty.
   RackName RequiredRack(const StepPlacement& placement) const;
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -280,8 +280,14 @@
   /// @return the policy of the job's queue in the active configuration, otherwise the one under
   ///   which the job was accepted.
   const QueuePolicy& PolicyOf(const Job& job) const;
+  /// @return the id of a new run; ids increase across owners.
+  int64_t NextRun();
   void Start(Job& job, const TaskId& id, Task& task, ExecutorState& executor, int64_t run,
              TimePoint now);
+  /// Starts second runs of stragglers in capacity that no job waits for.
+  void CopyStragglers(Placer& placer, TimePoint now);
+  /// @return whether a second run of a task may be started because its only run is a straggler.
+  bool IsStraggler(const Job& job, const TaskId& id, const Task& task, TimePoint now) const;
   /// @return whether a task has to be placed: it has no run, or copies are allowed and the
   ///   executors of all its runs do not respond.
   bool NeedsPlacement(const Task& task, const StepSpec& spec) const;
@@ -321,6 +327,8 @@
   std::vector<SchedulerNote> m_notes;
   bool m_plan_needed = true;
   double m_waiting_cores = 0;
+  TimePoint m_stragglers_sought_at{};
+  bool m_seek_stragglers = false;  ///< In the next planning.
   StartBudget m_budget;
   const StartCost* m_cost = nullptr;  ///< During Plan.
   Duration m_wait_for_link{};
--- a/src/decisions/scheduling/ranking.h
+++ b/src/decisions/scheduling/ranking.h
@@ -21,6 +21,12 @@
 RemainingWork EstimateRemaining(const Job& job, const DurationModel& durations,
                                 double timeliness_share, TimePoint now);
 
+/// @return whether the end of an occurrence depends on a step of it that is ready: with its
+///   expected run time and those of the steps that follow it, it is on a chain that takes at least
+///   nine tenths of the longest one.
+bool DecidesEnd(const JobDefinition& definition, const Occurrence& occurrence, int step,
+                const DurationModel& durations);
+
 /// @return the expected work of one complete occurrence of a job.
 RemainingWork EstimateWhole(const JobDefinition& definition, const DurationModel& durations);
 
--- a/src/decisions/scheduling/tests/run_times_use_test.cc
+++ b/src/decisions/scheduling/tests/run_times_use_test.cc
@@ -53,5 +53,179 @@
   EXPECT_EQ(durations->run_times().learned_runs(), 50);
 }
 
+// Runs jobs of four tasks of 0.5 s one after the other, so that each executor gets runs of many.
+void Warm(FakePool& pool, int jobs, bool copies_allowed = false) {
+  static int number = 0;
+  for (int i = 0; i < jobs; ++i) {
+    StepSpec step = MakeStep(4, 1000, 500ms);
+    step.image = "image";
+    step.max_per_executor = 1;
+    step.copies_allowed = copies_allowed;
+    pool.Submit(MakeJob("warm" + std::to_string(number++), {step}));
+    pool.Run(100ms);
+  }
+  pool.Run(3s);
+}
+
+// Load pattern: one executor of four takes three times as long.
+// Guards against a job whose end is decided by a slow executor while others are free, and against
+// an executor that is excluded because it is slow.
+TEST(RunTimesUseTest, SlowExecutorIsTheLastResortForTasksThatDecideAJobsEnd) {
+  FakePool pool(4);
+  pool.executor("x2").slowdown_factor = 3;
+  Warm(pool, 60);
+  ASSERT_EQ(pool.scheduler().run_times().executors().slow_executors(), 1u);
+  StepSpec step = MakeStep(6, 8000, 500ms);
+  step.image = "image";
+  pool.Submit(MakeJob("decisive", {step}));
+  pool.Run(100ms);
+  EXPECT_TRUE(pool.executor("x2").running().empty());
+  pool.Submit(MakeJob("more", {step}));
+  pool.Run(100ms);
+  EXPECT_EQ(pool.executor("x2").running().size(), 2u) << "used when the others are full";
+}
+
+// Guards against a slow executor that idles while tasks run that decide no job's end: it takes its
+// share of those.
+TEST(RunTimesUseTest, SlowExecutorTakesItsShareOfOtherTasks) {
+  FakePool pool(4);
+  pool.executor("x2").slowdown_factor = 2;
+  Warm(pool, 60);
+  ASSERT_EQ(pool.scheduler().run_times().executors().slow_executors(), 1u);
+  std::vector<Candidate> candidates;
+  for (const char* id : {"x1", "x2"}) {
+    ExecutorState* executor = pool.scheduler().FindExecutor(ExecutorId(id));
+    candidates.push_back({.executor = executor,
+                          .free = executor->info.capacity,
+                          .slowness = id == std::string_view("x2") ? 2.0 : 1.0});
+  }
+  Placer placer(candidates, pool.now());
+  const StepSpec spec = MakeStep(1, 4000, 500ms);
+  const Step step;
+  std::map<ExecutorId, int> placed;
+  for (int i = 0; i < 6; ++i) {
+    ++placed[placer.Place({.spec = spec, .step = step, .ready_since = pool.now()}, {})->info.id];
+  }
+  EXPECT_EQ(placed[ExecutorId("x1")], 4);
+  EXPECT_EQ(placed[ExecutorId("x2")], 2) << "half of its cores";
+}
+
+// Guards against judging a step by its own time only: a short one may hold up a long one.
+TEST(RunTimesUseTest, StepsOnTheLongestChainDecideTheEnd) {
+  const auto durations = MakeDurationModel(RunTimeUse::kDeclared);
+  auto definition = std::make_shared<JobDefinition>(MakeJob(
+      "job", {MakeStep(1, 1000, 500ms), MakeStep(1, 1000, 1s), MakeStep(1, 1000, 3s, {0})}));
+  const Job job(definition, TimePoint(1s), false);
+  const Occurrence& occurrence = job.occurrences().at(0);
+  EXPECT_TRUE(DecidesEnd(*definition, occurrence, 0, *durations));
+  EXPECT_FALSE(DecidesEnd(*definition, occurrence, 1, *durations));
+}
+
+// Load pattern: a poison job whose tasks fail on every executor. Guards against blaming executors.
+TEST(RunTimesUseTest, JobsThatFailEverywhereMakeNoExecutorSlow) {
+  FakePool pool(4);
+  Warm(pool, 30);
+  for (auto& [id, executor] : pool.executors()) {
+    executor.fails_everything = true;
+    executor.slowdown_factor = 5;
+  }
+  for (int i = 0; i < 10; ++i) {
+    StepSpec step = MakeStep(4, 4000, 500ms);
+    step.image = "image";
+    pool.Submit(MakeJob("poison" + std::to_string(i), {step}));
+    pool.Run(1s);
+  }
+  EXPECT_FALSE(pool.scheduler().run_times().executors().any_slow());
+}
+
+class StragglerTest : public ::testing::Test {
+ protected:
+  // Starts a job of one task that takes ten times its usual time on its first executor.
+  TaskId SubmitStraggler(std::string_view id, bool copies_allowed) {
+    const TaskId straggler{.job = JobId(id)};
+    for (auto& [name, executor] : m_pool.executors()) {
+      executor.run_time = [this, straggler](const TaskId& task, const StepSpec& spec) {
+        return task == straggler && m_pool.starts[task] == 1 ? 10 * spec.estimated_duration
+                                                             : spec.estimated_duration;
+      };
+    }
+    StepSpec step = MakeStep(1, 1000, 500ms);
+    step.image = "image";
+    step.copies_allowed = copies_allowed;
+    m_pool.Submit(MakeJob(id, {step}));
+    return straggler;
+  }
+
+  FakePool m_pool{4};
+};
+
+// Guards against a job that waits for a straggler while executors are free.
+TEST_F(StragglerTest, StragglerIsCopiedWhereCopiesAreAllowed) {
+  Warm(m_pool, 20, true);
+  const TaskId straggler = SubmitStraggler("straggler", true);
+  const auto took = m_pool.RunUntilFinal(straggler.job, 8s);
+  ASSERT_TRUE(took);
+  EXPECT_LT(*took, 3s);
+  EXPECT_TRUE(m_pool.Noted("straggler_copied"));
+  EXPECT_EQ(m_pool.starts[straggler], 2);
+  m_pool.Run(1s);
+  EXPECT_EQ(m_pool.CopiesOf(straggler), 0) << "the overtaken run is stopped";
+}
+
+// A second run of a task may exist only where copies are allowed: a task may charge somebody.
+TEST_F(StragglerTest, TaskWithoutCopiesIsNeverCopied) {
+  Warm(m_pool, 20);
+  const TaskId straggler = SubmitStraggler("straggler", false);
+  ASSERT_TRUE(m_pool.RunUntilFinal(straggler.job, 8s));
+  EXPECT_EQ(m_pool.starts[straggler], 1);
+}
+
+// Guards against copies that take capacity from jobs that wait for it.
+TEST_F(StragglerTest, NothingIsCopiedWhileJobsWait) {
+  Warm(m_pool, 20, true);
+  const TaskId straggler = SubmitStraggler("straggler", true);
+  m_pool.Run(100ms);
+  for (int i = 0; i < 40; ++i) {
+    StepSpec step = MakeStep(8, 8000, 500ms);
+    step.image = "image";
+    m_pool.Submit(MakeJob("load" + std::to_string(i), {step}));
+  }
+  m_pool.Run(4s);
+  EXPECT_EQ(m_pool.starts[straggler], 1);
+}
+
+// Guards against copies in comparisons with declared times, which know no stragglers.
+TEST_F(StragglerTest, NothingIsCopiedByDeclaredTimes) {
+  m_pool.make_durations = [] { return MakeDurationModel(RunTimeUse::kDeclared); };
+  m_pool.TakeOver();
+  Warm(m_pool, 20, true);
+  const TaskId straggler = SubmitStraggler("straggler", true);
+  ASSERT_TRUE(m_pool.RunUntilFinal(straggler.job, 8s));
+  EXPECT_EQ(m_pool.starts[straggler], 1);
+}
+
+// Load pattern: all tasks of an image become five times as long at once.
+// Guards against copies of everything when the distributions are out of date.
+TEST_F(StragglerTest, CopiesAreASmallShareOfTheRunningTasks) {
+  Warm(m_pool, 20, true);
+  for (auto& [name, executor] : m_pool.executors()) executor.slowdown_factor = 8;
+  for (int i = 0; i < 20; ++i) {
+    StepSpec step = MakeStep(1, 1000, 500ms);
+    step.image = "image";
+    step.copies_allowed = true;
+    m_pool.Submit(MakeJob("long" + std::to_string(i), {step}));
+  }
+  int most = 0;
+  for (int i = 0; i < 200; ++i) {
+    m_pool.Step();
+    int copied = 0;
+    for (int job = 0; job < 20; ++job) {
+      copied += m_pool.CopiesOf({.job = JobId("long" + std::to_string(job))}) > 1 ? 1 : 0;
+    }
+    most = std::max(most, copied);
+  }
+  EXPECT_LE(most, 1);
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
