--- a/src/cli/internal/fleet_command.cc
+++ b/src/cli/internal/fleet_command.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
+#include <string_view>
 
 #include "cli/cli.h"
 #include "cli/internal/commands.h"
@@ -24,7 +26,14 @@
 constexpr Duration kRetentionMargin = 10s;
 constexpr uint16_t kMetricsPort = 9464;
 
-fleet::FleetOptions MakeOptions(const platform::NodeSettings& settings) {
+std::optional<scheduling::RunTimeUse> ParseRunTimeUse(std::string_view text) {
+  if (text == "learned") return scheduling::RunTimeUse::kLearned;
+  if (text == "declared") return scheduling::RunTimeUse::kDeclared;
+  return std::nullopt;
+}
+
+fleet::FleetOptions MakeOptions(const platform::NodeSettings& settings,
+                                scheduling::RunTimeUse run_times) {
   return {.name = settings.name,
           .incarnation = node::RandomToken(),
           .client_listener = settings.client_listener,
@@ -40,6 +49,7 @@
           .revocation_bound = settings.revocation_bound,
           .configuration_bound = settings.configuration_bound,
           .quota_burst = settings.quota_burst,
+          .run_times = run_times,
           .executor_lease = std::min(kExecutorLease, settings.max_executor_lease),
           .status_retention = settings.min_status_retention + kRetentionMargin,
           .shutdown_grace = settings.shutdown_grace,
@@ -64,7 +74,10 @@
                            "Runs an entry on the users' platform until SIGTERM or SIGINT. The "
                            "settings file is named by CITRONFERRY_BOOT.");
   options.add_options()("log-level", "debug, info, warning or error",
-                        cxxopts::value<std::string>()->default_value("info"));
+                        cxxopts::value<std::string>()->default_value("info"))(
+      "run-times",
+      "run times of tasks that decisions are based on: learned, or declared for comparisons",
+      cxxopts::value<std::string>()->default_value("learned"));
   const ParsedOptions parsed = ParseOptions(options, arguments);
   if (!parsed.values) return parsed.exit_code;
   const auto level = ParseLogLevel((*parsed.values)["log-level"].as<std::string>());
@@ -72,6 +85,11 @@
     std::cerr << "citronferry fleet: unknown log level\n";
     return kExitUsage;
   }
+  const auto run_times = ParseRunTimeUse((*parsed.values)["run-times"].as<std::string>());
+  if (!run_times) {
+    std::cerr << "citronferry fleet: unknown run times\n";
+    return kExitUsage;
+  }
   InitBoundedLogging(*level, STDOUT_FILENO);
   const auto settings = ReadSettings();
   if (!settings.ok()) {
@@ -91,13 +109,14 @@
                                             .instances = adapters.instances(),
                                             .clients = adapters.client_protocol(),
                                             .http = &adapters.http_client()};
-  const Ret result = fleet::RunFleetNode(MakeOptions(settings.value()), platform_services, [] {
-    // The settings apply for the lifetime of the process, so changes take effect at the next start.
-    // Changed settings are only validated here.
-    const auto changed = ReadSettings();
-    if (changed.ok()) return;
-    Log(LogLevel::kError, "settings_invalid", {{"error", changed.ret().message()}});
-  });
+  const Ret result =
+      fleet::RunFleetNode(MakeOptions(settings.value(), *run_times), platform_services, [] {
+        // The settings apply for the lifetime of the process, so changes take effect at the next
+        // start. Changed settings are only validated here.
+        const auto changed = ReadSettings();
+        if (changed.ok()) return;
+        Log(LogLevel::kError, "settings_invalid", {{"error", changed.ret().message()}});
+      });
   FlushLog();
   return result.ok() ? kExitOk : kExitFailure;
 }
--- a/src/fleet/fleet_context.h
+++ b/src/fleet/fleet_context.h
@@ -7,6 +7,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "decisions/scheduling/duration_model.h"
 #include "decisions/scheduling/move_planner.h"
 #include "document/settings.h"
 #include "fleet/interfaces/announcements.h"
@@ -35,14 +36,16 @@
   document::Endpoint relay_listener;  ///< Where owners connect to use this entry as a relay.
   /// Keys for the connections between entries; without them only the loopback address is allowed.
   std::optional<peering::PeerKeys> relay_keys;
-  double cores = 1;                  ///< CPU that this entry may use, in cores.
-  double link_mbps = 1000;           ///< Rate of this entry's link, in Mbit/s.
-  int64_t memory_mb = 0;             ///< A process that uses more is killed; 0 if not stated.
-  int64_t max_descriptors = 0;       ///< Files and sockets of the process; 0 if not stated.
-  bool strict_revocation = false;    ///< Withdrawn API keys expire also on isolated entries.
-  Duration revocation_bound{};       ///< From the withdrawal of an API key to its last success.
-  Duration configuration_bound{};    ///< Time in which a configuration takes effect everywhere.
-  double quota_burst = 0.1;          ///< Share of a team's quota that may be exceeded.
+  double cores = 1;                ///< CPU that this entry may use, in cores.
+  double link_mbps = 1000;         ///< Rate of this entry's link, in Mbit/s.
+  int64_t memory_mb = 0;           ///< A process that uses more is killed; 0 if not stated.
+  int64_t max_descriptors = 0;     ///< Files and sockets of the process; 0 if not stated.
+  bool strict_revocation = false;  ///< Withdrawn API keys expire also on isolated entries.
+  Duration revocation_bound{};     ///< From the withdrawal of an API key to its last success.
+  Duration configuration_bound{};  ///< Time in which a configuration takes effect everywhere.
+  double quota_burst = 0.1;        ///< Share of a team's quota that may be exceeded.
+  /// Which run times decisions on pools are based on.
+  scheduling::RunTimeUse run_times = scheduling::RunTimeUse::kLearned;
   Duration executor_lease = 5s;      ///< Lease of executors; see docs/platform.md, "Ownership".
   Duration status_retention = 130s;  ///< How long the final state of a job is kept.
   Duration shutdown_grace = 6s;      ///< Time from the signal to stop to the end of the process.
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -65,12 +65,14 @@
                            kFollowWait)) {
   const Duration bound =
       FromSeconds(ToSeconds(context.options.executor_lease) / kMinClockRate) + kLeaseMargin;
-  m_scheduler = std::make_unique<PoolScheduler>(scheduling::SchedulerOptions{
-      .epoch = ownership.epoch,
-      .taken_over_at = context.timers.Now(),
-      .lease_bound = bound,
-      .final_retention = context.options.status_retention,
-      .start_bytes_per_second = context.options.link_mbps * kBytesPerMegabit * kStartShareOfLink});
+  m_scheduler = std::make_unique<PoolScheduler>(
+      scheduling::SchedulerOptions{.epoch = ownership.epoch,
+                                   .taken_over_at = context.timers.Now(),
+                                   .lease_bound = bound,
+                                   .final_retention = context.options.status_retention,
+                                   .start_bytes_per_second = context.options.link_mbps *
+                                                             kBytesPerMegabit * kStartShareOfLink},
+      scheduling::MakeDurationModel(context.options.run_times));
   m_committer =
       std::make_unique<StateCommitter>(context, m_pool, ownership.epoch, ownership.acquired_at,
                                        *m_scheduler, [this] { OnCommitted(); });
