Merge learned run times

Run times of tasks are learned as distributions, kept in the store over changes of owners, and used for ranks, placement and copies of stragglers.

--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -36,6 +36,8 @@
   Duration final_retention = 130s;  ///< How long jobs are kept in a final state.
   /// Bytes per second that start orders may take on the owner's link.
   double start_bytes_per_second = std::numeric_limits<double>::infinity();
+  /// See kTimelinessShare.
+  double timeliness_share = kTimelinessShare;
 };
 
 /// Size of start orders on the owner's link.
@@ -77,8 +79,10 @@
   std::vector<QueueSummary> queues;
   std::vector<JobId> removed_jobs;   ///< Delete their progress; their definitions are deleted.
   std::vector<SettledEnds> settled;  ///< Not written; for PoolScheduler::OnCommitted.
+  /// Encoded rows of learned run times, which the committer adds; empty if they stay as they are.
+  std::vector<std::string> run_times;
 
-  /// @return the number of rows to write or delete.
+  /// @return the number of rows to write or delete, besides those of run times.
   size_t size() const {
     return progress.size() + links.size() + removed_links.size() + queues.size() +
            removed_jobs.size();
@@ -105,7 +109,9 @@
 /// events are passed in with their time, and orders and state to make durable are returned.
 class PoolScheduler {
  public:
-  explicit PoolScheduler(SchedulerOptions options);
+  /// @param durations predicts run times; by default from completed tasks.
+  explicit PoolScheduler(SchedulerOptions options,
+                         std::unique_ptr<DurationModel> durations = nullptr);
   ~PoolScheduler();
 
   /// Replaces the policies of the queues that the pool serves.
@@ -227,6 +233,9 @@
   /// @return the number of executors over which long-running tasks have to be spread, as the
   ///   maximum over all steps.
   int min_executors_for_long_running() const;
+  /// @return what this owner has learned about run times.
+  runtimes::RunTimes& run_times() { return m_durations->run_times(); }
+  const runtimes::RunTimes& run_times() const { return m_durations->run_times(); }
   /// @return the expected core-seconds of a job.
   double EstimateCoreSeconds(const JobDefinition& definition) const;
 
@@ -298,8 +307,14 @@
   /// @return the policy of the job's queue in the active configuration, otherwise the one under
   ///   which the job was accepted.
   const QueuePolicy& PolicyOf(const Job& job) const;
+  /// @return the id of a new run; ids increase across owners.
+  int64_t NextRun();
   void Start(Job& job, const TaskId& id, Task& task, ExecutorState& executor, int64_t run,
              TimePoint now);
+  /// Starts second runs of stragglers in capacity that no job waits for.
+  void CopyStragglers(Placer& placer, TimePoint now);
+  /// @return whether a second run of a task may be started because its only run is a straggler.
+  bool IsStraggler(const Job& job, const TaskId& id, const Task& task, TimePoint now) const;
   /// @return whether a task has to be placed: it has no run, or copies are allowed and the
   ///   executors of all its runs do not respond.
   bool NeedsPlacement(const Task& task, const StepSpec& spec) const;
@@ -331,8 +346,8 @@
   std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
   std::set<JobId> m_open_jobs;
   std::map<ExecutorId, ExecutorState> m_executors;
-  DurationModel m_durations;
-  JobRanking m_ranking{m_durations};
+  std::unique_ptr<DurationModel> m_durations;
+  JobRanking m_ranking;
   Orders m_orders;
   int64_t m_last_run_number = 0;
   bool m_fenced = false;
@@ -350,6 +365,8 @@
   double m_waiting_cores = 0;
   TeamQuotas m_team_quotas;
   TeamShares m_team_shares;
+  TimePoint m_stragglers_sought_at{};
+  bool m_seek_stragglers = false;  ///< In the next planning.
   StartBudget m_budget;
   const StartCost* m_cost = nullptr;  ///< During Plan.
   Duration m_wait_for_link{};
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -90,6 +90,9 @@
   std::vector<std::string> MakeHandoverRows() const;
   /// @return the entry that should take over the pool when this one stops.
   EntryId ChooseSuccessor() const;
+  /// Reads what the previous owner learned about run times. Whatever cannot be read is only learned
+  /// again.
+  QCoro::Task<void> LoadRunTimes();
   QCoro::Task<void> FollowJobs();
   /// Advances the scheduler with time.
   QCoro::Task<void> Tick();
