Divide quotas with several dimensions without stranding them

The property test used one dimension. With tasks of different memory it found pools that hold parts of a quota in which no waiting unit fits, while less than half of it is in use. Below half, units now get room only if they fit beside all runs, and a pool names its smallest waiting unit, not the largest.

The test now has two dimensions, and a task counts as stranded after 3 s beside room for it, not after 3 s of waiting with room at the end. The time is counted from the end of a failure: before a successor has taken a pool over and knows its runs, or while the store does not answer, nobody can divide the quota.

--- a/src/decisions/quotas/internal/division.cc
+++ b/src/decisions/quotas/internal/division.cc
@@ -7,12 +7,14 @@
 namespace citronferry::quotas {
 namespace {
 
+constexpr double kHalf = 0.5;
+
 Resources Wanted(const TeamNeed& need) {
   Resources wanted = need.used;
   return wanted += need.waiting;
 }
 
-// What a pool needs in order to start its largest waiting unit.
+// What a pool needs in order to start a waiting unit.
 Resources Floor(const TeamNeed& need) {
   Resources floor = need.used;
   return floor += need.unit;
@@ -32,7 +34,11 @@
 
 std::vector<Resources> Divide(const Resources& quota, std::span<const Claim> claims) {
   Resources total;
-  for (const Claim& claim : claims) total += Wanted(claim.need);
+  Resources used;
+  for (const Claim& claim : claims) {
+    total += Wanted(claim.need);
+    used += claim.need.used;
+  }
   const auto contended = [&](auto dimension) {
     return quota.*dimension > 0 && total.*dimension > quota.*dimension;
   };
@@ -43,18 +49,22 @@
     return std::tuple(DominantShare(claims[a].need.used, quota), claims[a].pool) <
            std::tuple(DominantShare(claims[b].need.used, quota), claims[b].pool);
   });
+  // Above half of the quota, room for a unit may have to be made by runs that end. Below, all runs
+  // keep their room, so that a unit that does not fit beside them keeps no other from starting.
+  const bool below_half = DominantShare(used, quota) < kHalf;
   Resources left = quota;
+  if (below_half) {
+    left -= used;
+    for (size_t i = 0; i < claims.size(); ++i) shares[i] = claims[i].need.used;
+  }
   for (const size_t i : order) {
-    const Resources floor = Floor(claims[i].need);
+    const Resources need = Floor(claims[i].need) - shares[i];
     const bool fits = std::all_of(kDimensions.begin(), kDimensions.end(), [&](auto dimension) {
-      return !contended(dimension) || floor.*dimension <= left.*dimension;
+      return !contended(dimension) || need.*dimension <= left.*dimension;
     });
     if (!fits) continue;
-    for (const auto dimension : kDimensions) {
-      if (!contended(dimension)) continue;
-      shares[i].*dimension = floor.*dimension;
-      left.*dimension -= floor.*dimension;
-    }
+    shares[i] += need;
+    left -= need;
   }
   for (const auto dimension : kDimensions) {
     if (quota.*dimension <= 0) {
@@ -68,7 +78,7 @@
     const int64_t sum = std::accumulate(open.begin(), open.end(), int64_t{0});
     for (size_t i = 0; i < claims.size(); ++i) {
       if (!contended(dimension)) {
-        shares[i].*dimension = open[i];
+        shares[i].*dimension += open[i];
       } else if (sum > 0) {
         const double part = static_cast<double>(open[i]) / static_cast<double>(sum);
         shares[i].*dimension += static_cast<int64_t>(static_cast<double>(left.*dimension) * part);
--- a/src/decisions/quotas/tests/grant_property_test.cc
+++ b/src/decisions/quotas/tests/grant_property_test.cc
@@ -21,17 +21,24 @@
 constexpr Duration kReportDelay = 400ms;    // Until a successor knows what runs in the pool.
 constexpr Duration kLateApplication = 3s;   // Longer than a takeover.
 constexpr Duration kStrandedAfter = 3s;
-constexpr int64_t kRoom = 200;  // Capacity of a pool.
+constexpr int64_t kMemoryPerCore = 10;  // Of a quota and of a pool.
+constexpr int64_t kRoom = 200;          // Cores of a pool.
 const TeamName kTeam("team");
 
+Resources WithMemory(int64_t cores, int64_t memory_per_core = kMemoryPerCore) {
+  return {.cpu_millicores = cores, .memory_mb = cores * memory_per_core};
+}
+
+Resources Sum(Resources left, const Resources& right) { return left += right; }
+
 struct Task {
-  int64_t cores = 0;
+  Resources request;
   Duration length{};
-  TimePoint waiting_since{};
+  TimePoint waiting_since{};  ///< Beside room for it.
 };
 
 struct RunningTask {
-  int64_t cores = 0;
+  Resources request;
   TimePoint ends_at{};
 };
 
@@ -52,23 +59,26 @@
     for (size_t i = 0; i < pools; ++i) TakeOver(i);
   }
 
-  void Submit(size_t pool, int64_t cores, Duration length) {
-    m_pools[pool].waiting.push_back({.cores = cores, .length = length, .waiting_since = m_now});
+  void Submit(size_t pool, int64_t cores, Duration length,
+              int64_t memory_per_core = kMemoryPerCore) {
+    m_pools[pool].waiting.push_back(
+        {.request = WithMemory(cores, memory_per_core), .length = length, .waiting_since = m_now});
   }
   void Kill(size_t pool) {
     m_pools[pool].owner.reset();
     m_pools[pool].next_owner_at = m_now + kTakeoverTime;
-    Disturb();
+    // Until then nobody can start tasks in the pool or return its grant.
+    DisturbUntil(m_now + kTakeoverTime + kReportDelay);
   }
   void SetQuota(int64_t quota) {
     m_previous_quota = m_quota;
     m_quota = quota;
     m_quota_since = m_now;
-    Disturb();
+    DisturbUntil(m_now);
   }
   void LoseResponses(Duration duration) {
     m_responses_lost_until = m_now + duration;
-    Disturb();
+    DisturbUntil(m_responses_lost_until);
   }
 
   void Run(Duration duration) {
@@ -78,8 +88,8 @@
   bool bound_kept() const { return m_bound_kept; }
   bool none_stranded() const { return m_none_stranded; }
   int64_t writes() const { return m_writes; }
-  int64_t in_use() const {
-    int64_t sum = 0;
+  Resources in_use() const {
+    Resources sum;
     for (const Pool& pool : m_pools) sum += Used(pool);
     return sum;
   }
@@ -101,13 +111,13 @@
   };
 
   static PoolName NameOf(size_t pool) { return PoolName("p" + std::to_string(pool)); }
-  static int64_t Used(const Pool& pool) {
-    int64_t sum = 0;
-    for (const RunningTask& task : pool.running) sum += task.cores;
+  static Resources Used(const Pool& pool) {
+    Resources sum;
+    for (const RunningTask& task : pool.running) sum += task.request;
     return sum;
   }
 
-  void Disturb() { m_disturbed_at = m_now; }
+  void DisturbUntil(TimePoint end) { m_disturbed_until = std::max(m_disturbed_until, end); }
 
   void TakeOver(size_t index) {
     Pool& pool = m_pools[index];
@@ -137,32 +147,38 @@
   void RunOwner(size_t index) {
     Pool& pool = m_pools[index];
     GrantPlanner& owner = *pool.owner;
-    owner.SetQuotas({{kTeam, {.cpu_millicores = QuotaFor(index)}}});
+    owner.SetQuotas({{kTeam, WithMemory(QuotaFor(index))}});
     if (m_now >= pool.next_read_at && m_now >= m_responses_lost_until) {
       owner.SetSnapshot(m_store);
       pool.next_read_at = m_now + kFollowDelay;
     }
     const bool known = m_now >= pool.known_at;
     // Before the executors have reported, the whole grant counts as in use.
-    int64_t used = known ? Used(pool) : owner.GrantOf(kTeam).cpu_millicores;
-    const int64_t limit = owner.LimitOf(kTeam)->cpu_millicores;
-    int64_t room = kRoom - Used(pool);
+    Resources used = known ? Used(pool) : owner.GrantOf(kTeam);
+    const Resources limit = *owner.LimitOf(kTeam);
+    Resources room = WithMemory(kRoom) - Used(pool);
     TeamNeed need;
+    int64_t smallest = kNoLimit;  // Request of the unit, in MB of the dominant resource.
     std::erase_if(pool.waiting, [&](const Task& task) {
-      if (task.cores > room) return false;
-      if (!known || used + task.cores > limit) {
-        need.waiting.cpu_millicores += task.cores;
-        need.unit.cpu_millicores = std::max(need.unit.cpu_millicores, task.cores);
+      if (!Fits(task.request, room)) return false;
+      if (!known || !Fits(Sum(used, task.request), limit)) {
+        need.waiting += task.request;
+        const int64_t size =
+            std::max(kMemoryPerCore * task.request.cpu_millicores, task.request.memory_mb);
+        if (size < smallest) need.unit = task.request;
+        smallest = std::min(smallest, size);
         return false;
       }
-      used += task.cores;
-      room -= task.cores;
-      pool.running.push_back({.cores = task.cores, .ends_at = m_now + task.length});
-      m_bound_kept &= in_use() <= std::max(m_quota, HighestQuotaInForce());
+      used += task.request;
+      room -= task.request;
+      pool.running.push_back({.request = task.request, .ends_at = m_now + task.length});
+      m_bound_kept &= Fits(in_use(), WithMemory(std::max(m_quota, HighestQuotaInForce())));
       return true;
     });
-    need.waiting.cpu_millicores = std::min(need.waiting.cpu_millicores, room);
-    need.used.cpu_millicores = used;
+    for (const auto dimension : kDimensions) {
+      need.waiting.*dimension = std::min(need.waiting.*dimension, room.*dimension);
+    }
+    need.used = used;
     owner.SetNeeds({{kTeam, need}}, m_now);
     if (const auto write = owner.PlanWrite(m_now)) Send(index, *write);
   }
@@ -215,17 +231,20 @@
     });
   }
 
+  // A task is stranded if it has waited beside room for 3 s, all of them below half of the quota.
   void CheckStranded() {
-    if (2 * in_use() >= m_quota) {
+    const Resources twice = Sum(in_use(), in_use());
+    const Resources quota = WithMemory(m_quota);
+    if (twice.cpu_millicores >= quota.cpu_millicores || twice.memory_mb >= quota.memory_mb) {
       m_below_half_since = m_now;
-      return;
     }
-    const TimePoint since = std::max(m_below_half_since, m_disturbed_at);
-    if (m_now - since <= kStrandedAfter) return;
-    for (const Pool& pool : m_pools) {
-      for (const Task& task : pool.waiting) {
-        const bool room = task.cores <= kRoom - Used(pool) && in_use() + task.cores <= m_quota;
-        if (room && m_now - task.waiting_since > kStrandedAfter) m_none_stranded = false;
+    const TimePoint since = std::max(m_below_half_since, m_disturbed_until);
+    for (Pool& pool : m_pools) {
+      for (Task& task : pool.waiting) {
+        const bool room = Fits(task.request, WithMemory(kRoom) - Used(pool)) &&
+                          Fits(Sum(in_use(), task.request), quota);
+        if (!room) task.waiting_since = m_now;
+        m_none_stranded &= m_now - std::max(since, task.waiting_since) <= kStrandedAfter;
       }
     }
   }
@@ -239,7 +258,7 @@
   int64_t m_previous_quota = 100;
   TimePoint m_quota_since{};
   TimePoint m_responses_lost_until{};
-  TimePoint m_disturbed_at{};
+  TimePoint m_disturbed_until{};
   TimePoint m_below_half_since{};
   bool m_bound_kept = true;
   bool m_none_stranded = true;
@@ -264,8 +283,9 @@
       default: {
         const int count = *rc::gen::inRange(1, 30);
         const int64_t cores = *rc::gen::element<int64_t>(1, 2, 4, 8, 16);
+        const int64_t memory = *rc::gen::element<int64_t>(1, 10, 20);
         const Duration length = *rc::gen::inRange(2, 40) * 100ms;
-        for (int k = 0; k < count; ++k) model.Submit(pool, cores, length);
+        for (int k = 0; k < count; ++k) model.Submit(pool, cores, length, memory);
         break;
       }
     }
@@ -286,7 +306,7 @@
 }
 
 // Guards against a quota of which less than half is used while a task that would fit waits for 3 s,
-// counted from the last failure.
+// counted from the end of the last failure.
 TEST(GrantPropertyTest, NoTaskIsStranded) {
   EXPECT_TRUE(rc::check([] {
     const size_t pools = *rc::gen::inRange<size_t>(1, 6);
@@ -329,7 +349,7 @@
   for (int i = 0; i < 50; ++i) model.Submit(0, 1, 1s);
   model.Run(150ms);
   EXPECT_EQ(model.waiting(), 0u);
-  EXPECT_EQ(model.in_use(), 50);
+  EXPECT_EQ(model.in_use().cpu_millicores, 50);
   model.Run(850ms);
   EXPECT_LE(model.writes() - before, 4);
 }
--- a/src/decisions/quotas/types.h
+++ b/src/decisions/quotas/types.h
@@ -23,7 +23,7 @@
 struct TeamNeed {
   Resources used;     ///< By runs that may exist.
   Resources waiting;  ///< Requested by tasks that only the quota keeps from starting.
-  Resources unit;     ///< Largest request that has to be granted at once: a task or a whole gang.
+  Resources unit;     ///< Smallest request that waits: a task or a whole gang.
 
   friend bool operator==(const TeamNeed&, const TeamNeed&) = default;
 };
--- a/src/decisions/scheduling/internal/team_quotas.cc
+++ b/src/decisions/scheduling/internal/team_quotas.cc
@@ -17,6 +17,17 @@
                                  Dimension{"memory_mb", &Resources::memory_mb},
                                  Dimension{"gpus", &Resources::gpus}};
 
+// The highest part of a quota that a request takes in a dimension.
+double DominantShare(const Resources& request, const Resources& quota) {
+  double share = 0;
+  for (const auto& [name, amount] : kDimensions) {
+    if (quota.*amount <= 0) continue;
+    share =
+        std::max(share, static_cast<double>(request.*amount) / static_cast<double>(quota.*amount));
+  }
+  return share;
+}
+
 }  // namespace
 
 bool TeamQuotas::SetLimits(std::map<TeamName, TeamLimit> limits) {
@@ -51,18 +62,15 @@
 }
 
 void TeamQuotas::HoldBack(const TeamName& team, const Resources& request, bool best_effort) {
-  // A request beyond the whole quota can never start. Waiting for it would keep others from theirs.
   const auto limit = m_limits.find(team);
   if (limit == m_limits.end()) return;
-  for (const auto& [name, amount] : kDimensions) {
-    const int64_t quota = limit->second.quota.*amount;
-    if (quota > 0 && request.*amount > quota) return;
-  }
+  const Resources& quota = limit->second.quota;
+  // A request beyond the whole quota can never start. Waiting for it would keep others from theirs.
+  if (DominantShare(request, quota) > 1) return;
   TeamUse& use = m_held_back[team];
   (best_effort ? m_best_effort_held_back[team] : use.waiting) += request;
-  for (const auto& [name, amount] : kDimensions) {
-    use.unit.*amount = std::max(use.unit.*amount, request.*amount);
-  }
+  const bool smaller = DominantShare(request, quota) < DominantShare(use.unit, quota);
+  if (use.unit == Resources() || smaller) use.unit = request;
 }
 
 void TeamQuotas::EndRound(const Resources& free) {
--- a/src/decisions/scheduling/team_quotas.h
+++ b/src/decisions/scheduling/team_quotas.h
@@ -25,7 +25,7 @@
   Resources used;        ///< By runs that are known and may exist.
   Resources unresolved;  ///< Capacity on which unknown runs of the team may exist.
   Resources waiting;     ///< Requested by tasks that fit, but are held back by the team's limit.
-  Resources unit;        ///< Largest request that is held back: of a task or a whole gang.
+  Resources unit;        ///< Smallest request that is held back: of a task or a whole gang.
 };
 
 /// Account of what each team uses in a pool, and its limits.
