--- a/src/fleet/tests/run_time_rows_test.cc
+++ b/src/fleet/tests/run_time_rows_test.cc
@@ -169,7 +169,7 @@
   EXPECT_EQ(m_rows.At(RunTimesKey(m_pool, 0)).version, first);
   stop.Request();
   EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
-  Await(committer.ReleaseOwnership());
+  Await(committer.ReleaseOwnership(EntryId(), [] { return std::vector<std::string>(); }));
   EXPECT_GT(m_rows.At(RunTimesKey(m_pool, 0)).version, first);
   RunTimes stored;
   for (size_t i = 0; i < kMaxRunTimeRows; ++i) {
