Stop following releases when the entry drains

A call that waits for releases took up to 5 s, so the watcher did not end within the 3 s that the supervisor gives it: found by reading, a graceful stop could take 3 s longer and log child_stop_timeout. The watcher now ends its calls while the entry still serves after the signal to stop, and a call waits for 2 s at most.

--- a/src/fleet/watch/internal/owner_watcher.cc
+++ b/src/fleet/watch/internal/owner_watcher.cc
@@ -12,9 +12,9 @@
 constexpr Duration kPollInterval = 500ms;
 constexpr Duration kInitialRetryDelay = 100ms;
 constexpr Duration kMaxRetryDelay = 1s;
-// Bounds the time for which a connection that has gone silent hides releases, which the poll of the
-// owners finds later.
-constexpr Duration kReleaseWait = 5s;
+// Shorter than the time for which an entry serves on after the signal to stop, so that no call is
+// waiting when its services are stopped.
+constexpr Duration kReleaseWait = 2s;
 
 // Reads the owners of the pools in the current configuration.
 QCoro::Task<RetVal<RowChanges>> ReadOwners(FleetContext& context) {
@@ -70,7 +70,8 @@
   explicit ReleaseWatcher(FleetContext& context) : m_context(context) {}
 
   QCoro::Task<Ret> Run() override {
-    while (!m_stop.requested()) {
+    // A draining entry bids for no pool.
+    while (!m_stop.requested() && !m_context.draining) {
       if (m_context.configuration.Get().version == 0) {
         co_await SleepFor(m_context.timers, kInitialRetryDelay, &m_stop);
         continue;
@@ -82,6 +83,7 @@
       }
       for (const Row& row : changes->changed) ObserveOwner(m_context, row);
     }
+    while (!m_stop.requested()) co_await SleepFor(m_context.timers, kReleaseWait, &m_stop);
     co_return MakeOk();
   }
 
