--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -493,7 +493,7 @@
     pool.Submit(MakeJob("lost" + std::to_string(i), {step}));
   }
   pool.Submit(MakeJob("other", {MakeStep(1, 4000, 300ms)}));
-  EXPECT_TRUE(pool.RunUntilFinal(JobId("other"), 2s));
+  EXPECT_TRUE(pool.RunUntilFinal(JobId("other"), 500ms));
   EXPECT_EQ(pool.State(JobId("lost0")), JobState::kQueued);
 }
 
