Log which ends of runs have no effect, and which were never seen

An end that had no effect left a line without its kind, number and reason, an end of an unknown job left none, and ends that an executor had forgotten before the owner saw them could not be noticed.

Change: end_ignored names the end, its number and the reason; ends_missed names the numbers of ends that were skipped; executor_restarted, executor_silent and executor_in_touch name the last applied and durable ends, job_known whether copies are allowed. No decision changes.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "base/time.h"
@@ -72,6 +73,9 @@
   bool Usable(TimePoint now) const;
 };
 
+/// @return the numbers of the last applied and of the last durable end, for the log.
+std::string DescribeEnds(const ExecutorState& executor);
+
 }  // namespace citronferry::scheduling
 
 #endif  // CITRONFERRY_DECISIONS_SCHEDULING_EXECUTOR_STATE_H_
--- a/src/decisions/scheduling/internal/executor_state.cc
+++ b/src/decisions/scheduling/internal/executor_state.cc
@@ -54,4 +54,9 @@
   return !health.on_probation() || runs.empty();
 }
 
+std::string DescribeEnds(const ExecutorState& executor) {
+  return "ends applied to " + std::to_string(executor.applied_end) + ", durable to " +
+         std::to_string(executor.durable_end);
+}
+
 }  // namespace citronferry::scheduling
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -215,7 +215,7 @@
   if (!std::exchange(executor->contacted, true)) m_plan_needed = true;
   if (!executor->responding) return;
   executor->responding = false;
-  Note("executor_silent", {}, 0, id);
+  Note("executor_silent", {}, 0, id, DescribeEnds(*executor));
 }
 
 void PoolScheduler::OnExecutorGone(const ExecutorId& id, TimePoint now) {
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -21,6 +21,29 @@
 constexpr int kPaceStepPercent = 10;
 constexpr int kMinPacePercent = 10;  // A lower pace is set to 0.
 
+std::string_view NameOf(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLeaseExpired:
+      return "lapsed";
+    case RunEnd::kBroken:
+      return "broken";
+    case RunEnd::kGangIncomplete:
+      return "alone";
+  }
+  return "";
+}
+
+std::string DescribeIgnoredEnd(const EndedRun& ended, std::string_view reason) {
+  std::string text(NameOf(ended.end));
+  return text.append(", number ").append(std::to_string(ended.number)).append(", ").append(reason);
+}
+
 }  // namespace
 
 void PoolScheduler::OnReport(const ExecutorId& id, const ExecutorReport& report,
@@ -37,6 +60,7 @@
   if (report.incarnation_unix_ms != 0)
     executor->info.incarnation_unix_ms = report.incarnation_unix_ms;
 
+  NoteMissedEnds(*executor, report.ended);
   for (const EndedRun& ended : report.ended) {
     if (ended.number <= executor->applied_end) continue;
     executor->applied_end = ended.number;
@@ -47,12 +71,22 @@
   if (report.ended.size() < kMaxListedEnds)
     RemoveVanishedRuns(*executor, report, requested_at, now);
 
-  if (!executor->responding) Note("executor_in_touch", {}, 0, id);
+  if (!executor->responding) Note("executor_in_touch", {}, 0, id, DescribeEnds(*executor));
   if (!executor->responding || !executor->reported) m_plan_needed = true;
   executor->responding = executor->contacted = true;
   executor->reported = true;
 }
 
+void PoolScheduler::NoteMissedEnds(const ExecutorState& executor, std::span<const EndedRun> ended) {
+  const auto next = std::find_if(ended.begin(), ended.end(), [&](const EndedRun& end) {
+    return end.number > executor.applied_end;
+  });
+  // The first report to an owner lists what its predecessor has not acknowledged.
+  if (next == ended.end() || !executor.reported || next->number == executor.applied_end + 1) return;
+  Note("ends_missed", {}, 0, executor.info.id,
+       std::to_string(executor.applied_end + 1) + " to " + std::to_string(next->number - 1));
+}
+
 Task* PoolScheduler::FindReportedTask(const ExecutorState& executor, const TaskId& id) {
   Job* job = FindJobMutable(id.job);
   if (!job) return nullptr;
@@ -67,6 +101,10 @@
   if (!task) {
     // The job or its occurrence has ended, so only the capacity is freed.
     RemoveRun(ended.task, ended.run, executor);
+    if (!job) {
+      Note("end_ignored", ended.task, ended.run, executor.info.id,
+           DescribeIgnoredEnd(ended, "unknown job"));
+    }
     return;
   }
   const Run* found = FindRun(ended.task, ended.run, executor.info.id);
@@ -75,7 +113,8 @@
   // The end of an abandoned run is ignored: the executor's lease expired before the report.
   const bool abandoned = m_abandoned_runs.contains({ended.task, ended.run});
   if (abandoned || (!run && !executor.inherited)) {
-    Note("end_ignored", ended.task, ended.run, executor.info.id);
+    Note("end_ignored", ended.task, ended.run, executor.info.id,
+         DescribeIgnoredEnd(ended, abandoned ? "lease ran out" : "unknown run"));
     return;
   }
   const StepSpec& spec = job->spec(ended.task.step);
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -75,7 +75,10 @@
 void PoolScheduler::OnRestarted(ExecutorState& executor, int64_t incarnation_unix_ms,
                                 TimePoint now) {
   const ExecutorId& id = executor.info.id;
-  Note("executor_restarted", {}, 0, id);
+  Note("executor_restarted", {}, 0, id,
+       DescribeEnds(executor) + ", incarnation " +
+           std::to_string(executor.info.incarnation_unix_ms) + " to " +
+           std::to_string(incarnation_unix_ms));
   executor.info.incarnation_unix_ms = incarnation_unix_ms;
   executor.applied_end = executor.durable_end = 0;
   m_durations->run_times().executors().Forget(id.view());
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -355,6 +355,7 @@
        {"estimate_ms", ToMilliseconds(first.estimated_duration)},
        {"image", first.image},
        {"lasting", first.long_running},
+       {"copies_allowed", first.copies_allowed},
        {"fills", first.uses_leftover_cpu},
        {"max_per_executor", first.max_per_executor},
        {"max_unavailable", first.max_unavailable},
