--- a/src/fleet/fleet_context.h
+++ b/src/fleet/fleet_context.h
@@ -47,7 +47,7 @@
   double quota_burst = 0.1;        ///< Share of a team's quota that may be exceeded.
   /// Which run times decisions on pools are based on.
   scheduling::RunTimeUse run_times = scheduling::RunTimeUse::kLearned;
-  Duration executor_lease = 5s;      ///< Lease of executors; see docs/platform.md, "Ownership".
+  Duration executor_lease = 5s;  ///< Lease of executors; see docs/platform.md, "Ownership".
   /// Executors shorten longer leases to this.
   Duration longest_executor_lease = 10s;
   Duration status_retention = 130s;  ///< How long the final state of a job is kept.
