Recognise a restart by another start time, not only by a later one

Callers would see tasks that never run again (LOST).

Cause: an executor's incarnation is named by the time of day at its start. If the time of day is set back before a restart, the next incarnation has an earlier start time, and all its reports were dropped as those of a previous one. Since it answered, it counted as responding, and the runs of the previous incarnation were never given up.

Change: a report with another start time tells of a restart, unless it was requested before the known incarnation was noticed. Rows of the registry, which lag behind, are still ignored if their time is earlier.

Evidence: ExecutorRestartTest.RestartAfterTheTimeOfDayWasSetBackIsRecognised fails before and passes.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -52,10 +52,12 @@
   bool link_durable = false;  ///< A successor finds its link; required before the first order.
   bool reported = false;      ///< Its known incarnation has sent a report to this owner.
   bool restarted = false;     ///< This owner has met a previous incarnation.
-  bool responding = false;    ///< It answered the last call.
-  bool contacted = false;     ///< This owner has called it, whether or not it answered.
-  bool inherited = false;     ///< A previous owner may have started tasks on it.
-  bool cordoned = false;      ///< No new tasks: it is drained for maintenance or a move.
+  /// When this owner learned of the known incarnation, if it is not the first one.
+  TimePoint incarnation_known_at{};
+  bool responding = false;  ///< It answered the last call.
+  bool contacted = false;   ///< This owner has called it, whether or not it answered.
+  bool inherited = false;   ///< A previous owner may have started tasks on it.
+  bool cordoned = false;    ///< No new tasks: it is drained for maintenance or a move.
   std::optional<TimePoint> unlisted_since;
   std::optional<TimePoint> listed_at;
   int64_t applied_end = 0;  ///< Number of the last run end that was processed.
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -133,7 +133,8 @@
   const int64_t known_incarnation = executor.info.incarnation_unix_ms;
   const int64_t incarnation = info.incarnation_unix_ms == 0 ? known_incarnation  // Not listed.
                                                             : info.incarnation_unix_ms;
-  // The registry lags behind the executor's own reports.
+  // The registry lags behind the executor's own reports. A start time may also be earlier than that
+  // of the previous incarnation, if the time of day was set back; then a report shows the restart.
   if (incarnation < known_incarnation) return;
   if (incarnation > known_incarnation && known_incarnation != 0) {
     OnRestarted(executor, incarnation, now);
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -51,11 +51,12 @@
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
   const int64_t known_incarnation = executor->info.incarnation_unix_ms;
-  if (report.incarnation_unix_ms != 0 && known_incarnation != 0) {
-    if (report.incarnation_unix_ms < known_incarnation) return;  // From a previous incarnation.
-    if (report.incarnation_unix_ms > known_incarnation) {
-      OnRestarted(*executor, report.incarnation_unix_ms, now);
-    }
+  const bool differs = report.incarnation_unix_ms != 0 && known_incarnation != 0 &&
+                       report.incarnation_unix_ms != known_incarnation;
+  if (differs) {
+    // Requested before the restart was known, it may come from the previous incarnation.
+    if (requested_at < executor->incarnation_known_at) return;
+    OnRestarted(*executor, report.incarnation_unix_ms, now);
   }
   if (report.incarnation_unix_ms != 0)
     executor->info.incarnation_unix_ms = report.incarnation_unix_ms;
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -85,6 +85,7 @@
   executor.link_durable = false;
   executor.reported = false;
   executor.restarted = true;
+  executor.incarnation_known_at = now;
   executor.lease_bound = std::max(executor.lease_bound, now + m_options.longest_lease_bound);
   m_dirty_links.insert(id);
   std::erase_if(m_abandoned_runs, [&](const auto& abandoned) { return abandoned.second == id; });
--- a/src/decisions/scheduling/tests/executor_restart_test.cc
+++ b/src/decisions/scheduling/tests/executor_restart_test.cc
@@ -192,5 +192,31 @@
   EXPECT_TRUE(m_pool.Noted("task_failed"));
 }
 
+// Guards against an executor that is never used again, with tasks that wait for it (LOST): the time
+// of day was set back before it restarted, and its reports were taken for outdated ones.
+TEST_F(ExecutorRestartTest, RestartAfterTheTimeOfDayWasSetBackIsRecognised) {
+  FakePool pool(1);
+  pool.Run(100ms);
+  pool.Submit(MakeJob("a", {MakeStep(1, 1000, 300ms)}));
+  pool.Run(100ms);
+  ASSERT_EQ(pool.CopiesOf({.job = JobId("a")}), 1);
+  pool.executor("x0").Restart(-500);
+  pool.Run(1s);
+  EXPECT_EQ(pool.State(JobId("a")), JobState::kCompleted);
+  EXPECT_TRUE(pool.Noted("executor_restarted"));
+}
+
+// Guards against taking the response of a previous incarnation for a restart.
+TEST_F(ExecutorRestartTest, ReportThatWasRequestedBeforeARestartWasKnownIsIgnored) {
+  PoolScheduler& scheduler = m_pool.scheduler();
+  ExecutorDescription next = first().info();
+  next.incarnation_unix_ms += 5;
+  scheduler.ListExecutor(next, m_pool.now() + 40ms);
+  const ExecutorReport late{.incarnation_unix_ms = first().info().incarnation_unix_ms};
+  scheduler.OnReport(next.id, late, m_pool.now() + 20ms, m_pool.now() + 60ms);
+  EXPECT_EQ(scheduler.FindExecutor(next.id)->info.incarnation_unix_ms, next.incarnation_unix_ms);
+  EXPECT_FALSE(scheduler.FindExecutor(next.id)->reported);
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -114,8 +114,9 @@
   }
 
   /// Starts a new incarnation with the same id and without any state of the previous one.
-  void Restart() {
-    ++m_info.incarnation_unix_ms;
+  /// @param start_time_step of the time of day at its start; negative if that was set back.
+  void Restart(int64_t start_time_step = 1) {
+    m_info.incarnation_unix_ms += start_time_step;
     m_started_at = m_now;
     m_running.clear();
     m_ended.clear();
--- a/src/decisions/scheduling/tests/scheduling_property_test.cc
+++ b/src/decisions/scheduling/tests/scheduling_property_test.cc
@@ -14,7 +14,11 @@
 /// or hands over, an unavailable store.
 class FaultSchedule {
  public:
-  explicit FaultSchedule(uint64_t seed) : m_random(seed), m_pool(5) { m_pool.call_timeout = 500ms; }
+  explicit FaultSchedule(uint64_t seed) : m_random(seed), m_pool(5) {
+    m_pool.call_timeout = 500ms;
+    // Start times stay positive when the time of day is set back.
+    for (auto& [id, executor] : m_pool.executors()) executor.Restart(1'000'000);
+  }
 
   void RunSchedule() {
     for (m_step = 0; m_step < 600 && !::testing::Test::HasFatalFailure(); ++m_step) {
@@ -70,9 +74,12 @@
       case 1:
         AnyExecutor().loses_answers = true;
         break;
-      case 2:
-        AnyExecutor().Restart();
+      case 2: {
+        // The time of day may have been set back before the restart.
+        const int64_t step = Draw(4) == 0 ? -1000 - m_step : 1;
+        AnyExecutor().Restart(step);
         break;
+      }
       case 3:
         m_pool.TakeOver();
         break;
