--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -133,7 +133,8 @@
   const int64_t known_incarnation = executor.info.incarnation_unix_ms;
   const int64_t incarnation = info.incarnation_unix_ms == 0 ? known_incarnation  // Not listed.
                                                             : info.incarnation_unix_ms;
-  // The registry lags behind the executor's own reports.
+  // The registry lags behind the executor's own reports. A start time may also be earlier than that
+  // of the previous incarnation, if the time of day was set back; then a report shows the restart.
   if (incarnation < known_incarnation) return;
   if (incarnation > known_incarnation && known_incarnation != 0) {
     OnRestarted(executor, incarnation, now);
@@ -215,7 +216,7 @@
   if (!std::exchange(executor->contacted, true)) m_plan_needed = true;
   if (!executor->responding) return;
   executor->responding = false;
-  Note("executor_silent", {}, 0, id);
+  Note("executor_silent", {}, 0, id, DescribeEnds(*executor));
 }
 
 void PoolScheduler::OnExecutorGone(const ExecutorId& id, TimePoint now) {
@@ -300,7 +301,7 @@
     m_final_jobs.pop_front();
     m_jobs.erase(id);
     m_dirty_jobs.erase(id);
-    std::erase_if(m_abandoned_runs, [&](const auto& run) { return run.first.job == id; });
+    std::erase_if(m_abandoned_runs, [&](const auto& run) { return run.first.first.job == id; });
     m_expired_jobs.insert(id);
   }
 }
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -21,6 +21,29 @@
 constexpr int kPaceStepPercent = 10;
 constexpr int kMinPacePercent = 10;  // A lower pace is set to 0.
 
+std::string_view NameOf(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLeaseExpired:
+      return "lapsed";
+    case RunEnd::kBroken:
+      return "broken";
+    case RunEnd::kGangIncomplete:
+      return "alone";
+  }
+  return "";
+}
+
+std::string DescribeEnd(const EndedRun& ended, std::string_view reason) {
+  std::string text(NameOf(ended.end));
+  return text.append(", number ").append(std::to_string(ended.number)).append(", ").append(reason);
+}
+
 }  // namespace
 
 void PoolScheduler::OnReport(const ExecutorId& id, const ExecutorReport& report,
@@ -28,15 +51,17 @@
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
   const int64_t known_incarnation = executor->info.incarnation_unix_ms;
-  if (report.incarnation_unix_ms != 0 && known_incarnation != 0) {
-    if (report.incarnation_unix_ms < known_incarnation) return;  // From a previous incarnation.
-    if (report.incarnation_unix_ms > known_incarnation) {
-      OnRestarted(*executor, report.incarnation_unix_ms, now);
-    }
+  const bool differs = report.incarnation_unix_ms != 0 && known_incarnation != 0 &&
+                       report.incarnation_unix_ms != known_incarnation;
+  if (differs) {
+    // Requested before the restart was known, it may come from the previous incarnation.
+    if (requested_at < executor->incarnation_known_at) return;
+    OnRestarted(*executor, report.incarnation_unix_ms, now);
   }
   if (report.incarnation_unix_ms != 0)
     executor->info.incarnation_unix_ms = report.incarnation_unix_ms;
 
+  NoteMissedEnds(*executor, report.ended);
   for (const EndedRun& ended : report.ended) {
     if (ended.number <= executor->applied_end) continue;
     executor->applied_end = ended.number;
@@ -47,12 +72,26 @@
   if (report.ended.size() < kMaxListedEnds)
     RemoveVanishedRuns(*executor, report, requested_at, now);
 
-  if (!executor->responding) Note("executor_in_touch", {}, 0, id);
+  if (!executor->responding) Note("executor_in_touch", {}, 0, id, DescribeEnds(*executor));
   if (!executor->responding || !executor->reported) m_plan_needed = true;
+  // Until this report, a call to a previous incarnation may have extended the lease of this one.
+  if (!executor->reported && executor->restarted) {
+    executor->lease_bound = std::max(executor->lease_bound, now + m_options.longest_lease_bound);
+  }
   executor->responding = executor->contacted = true;
   executor->reported = true;
 }
 
+void PoolScheduler::NoteMissedEnds(const ExecutorState& executor, std::span<const EndedRun> ended) {
+  const auto next = std::find_if(ended.begin(), ended.end(), [&](const EndedRun& end) {
+    return end.number > executor.applied_end;
+  });
+  // The first report to an owner lists what its predecessor has not acknowledged.
+  if (next == ended.end() || !executor.reported || next->number == executor.applied_end + 1) return;
+  Note("ends_missed", {}, 0, executor.info.id,
+       std::to_string(executor.applied_end + 1) + " to " + std::to_string(next->number - 1));
+}
+
 Task* PoolScheduler::FindReportedTask(const ExecutorState& executor, const TaskId& id) {
   Job* job = FindJobMutable(id.job);
   if (!job) return nullptr;
@@ -67,19 +106,29 @@
   if (!task) {
     // The job or its occurrence has ended, so only the capacity is freed.
     RemoveRun(ended.task, ended.run, executor);
+    if (!job) {
+      Note("end_ignored", ended.task, ended.run, executor.info.id,
+           DescribeEnd(ended, "unknown job"));
+    }
     return;
   }
   const Run* found = FindRun(ended.task, ended.run, executor.info.id);
   const std::optional<Run> run = found ? std::optional(*found) : std::nullopt;
   RemoveRun(ended.task, ended.run, executor);
-  // The end of an abandoned run is ignored: the executor's lease expired before the report.
+  // Unless the executor has restarted since, its lease expired before the end was reported.
   const bool abandoned = m_abandoned_runs.contains({ended.task, ended.run});
-  if (abandoned || (!run && !executor.inherited)) {
-    Note("end_ignored", ended.task, ended.run, executor.info.id);
-    return;
+  const bool known = !abandoned && (run || executor.inherited);
+  // A start that was given up may have been carried out later. If that run succeeded, its task must
+  // not run again; if it failed, it counts as an attempt.
+  const bool has_effect =
+      known || ended.end == RunEnd::kDone || (ended.end == RunEnd::kFailed && !abandoned);
+  if (!known) {
+    Note(has_effect ? "end_of_lost_run" : "end_ignored", ended.task, ended.run, executor.info.id,
+         DescribeEnd(ended, abandoned ? "lease ran out" : "unknown run"));
   }
+  if (!has_effect) return;
   const StepSpec& spec = job->spec(ended.task.step);
-  if (spec.checkpoints && !ended.checkpoint.empty() && !task->done) {
+  if (known && spec.checkpoints && !ended.checkpoint.empty() && !task->done) {
     TaskId holder = ended.task;
     if (spec.gang_scheduled) holder.index = 0;
     job->FindTask(holder)->checkpoint = ended.checkpoint;
@@ -122,7 +171,7 @@
     }
   }
   // Stops copies, and runs that were started before this end was reported.
-  if (!spec.gang_scheduled) StopOtherRuns(job, ended.task, ended.run, now);
+  StopOtherRuns(job, ended.task, ended.run, now);
   job.MarkDone(ended.task);
   MarkDirty(job);
   m_plan_needed = true;
@@ -180,8 +229,7 @@
 void PoolScheduler::Adopt(ExecutorState& executor, Job& job, Task& task, const ActiveRun& active,
                           TimePoint now) {
   const StepSpec& spec = job.spec(active.task.step);
-  const bool wanted = !job.is_final() && !task.done && (task.runs.empty() || spec.copies_allowed) &&
-                      executor.inherited;
+  const bool wanted = !job.is_final() && !task.done && (task.runs.empty() || spec.copies_allowed);
   task.runs.push_back({.id = active.run,
                        .executor = executor.info.id,
                        .phase = RunPhase::kRunning,
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -33,6 +33,9 @@
   TimePoint taken_over_at{};
   /// Longest time from the last extension of an executor's lease to the end of all its runs.
   Duration lease_bound = 5300ms;
+  /// The same for the longest lease that an executor accepts. A call that reckons a lease on the
+  /// clock of a previous incarnation gives the next one at most this.
+  Duration longest_lease_bound = 10'500ms;
   Duration final_retention = 130s;  ///< How long jobs are kept in a final state.
   /// Bytes per second that start orders may take on the owner's link.
   double start_bytes_per_second = std::numeric_limits<double>::infinity();
@@ -246,6 +249,9 @@
   /// @return the task that an executor's report names, or nullptr if it is unknown or its
   ///   occurrence is finished.
   Task* FindReportedTask(const ExecutorState& executor, const TaskId& id);
+  /// Notes ends that the executor no longer lists although this owner has not seen them. Ends are
+  /// numbered without gaps.
+  void NoteMissedEnds(const ExecutorState& executor, std::span<const EndedRun> ended);
   void ApplyEnd(ExecutorState& executor, const EndedRun& ended, TimePoint now);
   void ApplyDone(ExecutorState& executor, Job& job, const EndedRun& ended, const Run* run,
                  TimePoint now);
@@ -278,10 +284,11 @@
   void OnRestarted(ExecutorState& executor, int64_t incarnation_unix_ms, TimePoint now);
   /// Removes all runs of an executor that has gone or whose lease has ended.
   void DropAllRuns(ExecutorState& executor, std::string_view reason);
-  /// Removes the runs of an executor that has not responded until its lease expired. Ends of these
-  /// runs that are reported later are ignored.
+  /// Removes the runs of an executor that has not responded until its lease expired. Of ends of
+  /// these runs that are reported later, only successes have an effect.
   void AbandonRuns(ExecutorState& executor);
   void StopAllRuns(Job& job, TimePoint now);
+  /// Stops all runs of a task, or of its gang, but one.
   void StopOtherRuns(Job& job, const TaskId& task, int64_t except_run, TimePoint now);
   void OrderStop(const TaskId& task, Run& run, TimePoint now);
   /// Repeats unconfirmed stops.
@@ -351,7 +358,8 @@
   Orders m_orders;
   int64_t m_last_run_number = 0;
   bool m_fenced = false;
-  std::set<std::pair<TaskId, int64_t>> m_abandoned_runs;
+  /// Runs given up after the lease of their executor's present incarnation.
+  std::map<std::pair<TaskId, int64_t>, ExecutorId> m_abandoned_runs;
   std::set<JobId> m_dirty_jobs;
   std::set<ExecutorId> m_dirty_links;
   std::set<ExecutorId> m_unsettled;  ///< Executors with ends whose effects are not durable.
