Do not take an expired job for a new one

The definition of an expired job stays for up to two seconds, and longer while the store is away or more than 50 jobs of a partition expire at a time. It no longer held the expired job, so it added it as a new one, without its progress, and started all its tasks again.

Rows that the owner has read before are not new.

--- a/src/fleet/change_feed.h
+++ b/src/fleet/change_feed.h
@@ -51,6 +51,8 @@
 
   /// @return whether the last result is a snapshot rather than changes since the previous one.
   bool is_snapshot() const { return m_is_snapshot; }
+  /// @return the version up to which all changes have been read.
+  int64_t version() const { return m_version; }
   /// @return the delay before the next attempt; grows with each error in a row.
   Duration retry_delay() { return m_backoff.Next(); }
   /// Makes the next read a snapshot, after a period in which the changes were not followed.
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -312,13 +312,14 @@
 
 QCoro::Task<void> PoolOwner::FollowJobs() {
   while (!m_ended.requested()) {
+    const int64_t followed = m_jobs.version();
     const auto changes = co_await m_jobs.Next();
     if (m_ended.requested()) co_return;
     if (!changes.ok()) {
       co_await SleepFor(m_context.timers, m_jobs.retry_delay(), &m_ended);
       continue;
     }
-    ApplyJobRows(changes->changed);
+    ApplyJobRows(changes->changed, followed);
     ProcessUpdates();
     co_await SleepFor(m_context.timers, kFollowPause, &m_ended);
   }
@@ -332,14 +333,16 @@
   return nullptr;
 }
 
-void PoolOwner::ApplyJobRows(std::span<const Row> rows) {
+void PoolOwner::ApplyJobRows(std::span<const Row> rows, int64_t followed) {
   const TimePoint now = m_context.timers.Now();
   for (const Row& row : rows) {
     if (const auto cancelled = CancelledJob(row.key.key)) {
       m_scheduler->CancelJob(*cancelled, now);
       continue;
     }
-    if (m_scheduler->HoldsJob(JobId(row.key.key))) continue;
+    // A snapshot has the rows of all jobs. One that was read before and is not held has expired and
+    // is not removed yet, or it could not be decoded; it is not a new job.
+    if (row.version <= followed || m_scheduler->HoldsJob(JobId(row.key.key))) continue;
     const auto definition = ReadDefinition(row);
     if (!definition) continue;
     LogNewJob(*definition);
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -100,7 +100,8 @@
   QCoro::Task<void> AskAdviser();
   /// Removes the definitions of jobs whose retention time is over.
   QCoro::Task<void> RemoveExpiredJobs();
-  void ApplyJobRows(std::span<const Row> rows);
+  /// @param followed version of the store up to which the rows have been read before.
+  void ApplyJobRows(std::span<const Row> rows, int64_t followed);
   /// @return the definition in a row; if it cannot be decoded, logs the error and returns nullptr.
   std::shared_ptr<const scheduling::JobDefinition> ReadDefinition(const Row& row) const;
   template <typename Order>
--- a/src/fleet/tests/ownership_test.cc
+++ b/src/fleet/tests/ownership_test.cc
@@ -5,6 +5,7 @@
 #include "fleet/pool/internal/state_committer.h"
 #include "fleet/tables.h"
 #include "fleet/tests/fleet_fixture.h"
+#include "supervision/time_of_day.h"
 
 namespace citronferry::fleet {
 namespace {
@@ -211,5 +212,59 @@
   EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
 }
 
+class LoadedStateTest : public OwnershipTest {
+ protected:
+  static scheduling::JobDefinition Job(std::string_view id) {
+    return {.id = JobId(id),
+            .queue = QueueName("queue"),
+            .steps = {{}},
+            .accepted_unix_ms = UnixMilliseconds()};
+  }
+  void Store(const scheduling::JobDefinition& job) {
+    m_rows.Apply({.puts = {{.key = JobKey(m_pool, job.id), .value = EncodeJob(job)}}});
+  }
+  void StoreProgress(const JobId& job, std::string value) {
+    m_rows.Apply({.puts = {{.key = ProgressKey(m_pool, job), .value = std::move(value)}}});
+  }
+
+  /// Runs an owner until a condition holds, then stops it.
+  /// @param check called before the owner is stopped.
+  template <typename Predicate, typename Check>
+  void RunOwner(Predicate predicate, Check check) {
+    PoolOwner owner(m_context, m_pool, {.epoch = m_epoch, .acquired_at = m_timers->Now()});
+    StopSignal stop;
+    TaskScope scope;
+    scope.Spawn([&]() -> QCoro::Task<void> { static_cast<void>(co_await owner.Run(stop)); });
+    EXPECT_TRUE(ProcessEventsUntil([&] { return predicate(owner.scheduler()); }));
+    check(owner.scheduler());
+    stop.Request();
+    EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+  }
+};
+
+// Guards against a job that runs again after its end (TWICE): its retention had passed, its
+// definition was not removed yet, and a snapshot of the definitions, read since the store had
+// discarded its history, brought it back without its progress.
+TEST_F(LoadedStateTest, ExpiredJobIsNotTakenForANewOne) {
+  m_options.status_retention = 0s;
+  Store(Job("a"));
+  StoreProgress(JobId("a"), EncodeProgress({.state = scheduling::JobState::kCompleted}));
+  bool loaded = false;
+  RunOwner(
+      [&](const scheduling::PoolScheduler& scheduler) {
+        loaded |= scheduler.HoldsJob(JobId("a"));
+        const bool expired = loaded && !scheduler.HoldsJob(JobId("a"));
+        if (expired && !m_rows.history_lost) {
+          Store(Job("b"));
+          m_rows.history_lost = true;
+        }
+        return scheduler.HoldsJob(JobId("b"));
+      },
+      [](const scheduling::PoolScheduler& scheduler) {
+        EXPECT_FALSE(scheduler.HoldsJob(JobId("a")));
+        EXPECT_EQ(scheduler.open_jobs(), 1u);
+      });
+}
+
 }  // namespace
 }  // namespace citronferry::fleet
