Stop runs of ended jobs and tasks that were handed over

A successor restored every run of the handover as wanted. A run of a job that had been cancelled, or another run of a task that was done, went on to its end if the stop of the previous owner had been lost or not been sent: reports that list a known run do not stop it.

Such a run is now restored as one that is being stopped, and the stop is sent and repeated until the executor confirms it.

HandoverTest.RunsOfACancelledJobAreStopped and HandoverTest.SlowCopyOfATaskThatIsDoneIsStopped failed before and pass now.

--- a/src/decisions/scheduling/internal/handover.cc
+++ b/src/decisions/scheduling/internal/handover.cc
@@ -75,8 +75,12 @@
                .listed = run.listed,
                .percent_changed_at = now,
                .adopted = true};
-  // A report that was requested later shows whether the run exists.
-  if (run.confirmed) {
+  // A report that was requested later shows whether the run exists. The previous owner's stop of a
+  // run that is not needed may have been lost, and the job may have been cancelled since, so it is
+  // stopped until the executor confirms it.
+  if (job->is_final() || task->done) {
+    restored.phase = RunPhase::kStopping;
+  } else if (run.confirmed) {
     restored.confirmed_at = now;
   } else {
     restored.unanswered_at = now;
--- a/src/decisions/scheduling/tests/handover_test.cc
+++ b/src/decisions/scheduling/tests/handover_test.cc
@@ -73,6 +73,43 @@
   EXPECT_EQ(pool.starts[First("a")], 1);
 }
 
+// Guards against a task of a cancelled job that runs on after a handover (UNASKED): the previous
+// owner released the pool before its stop was sent, and the successor took the run for a wanted
+// one.
+TEST(HandoverTest, RunsOfACancelledJobAreStopped) {
+  FakePool pool(1);
+  pool.Run(100ms);
+  pool.Submit(MakeJob("a", {MakeStep(1, 1000, 10s)}));
+  pool.Run(200ms);
+  ASSERT_TRUE(pool.executor("x0").Runs(First("a")));
+  pool.Cancel(JobId("a"));
+  ASSERT_TRUE(pool.HandOver());
+  pool.Run(300ms);
+  EXPECT_FALSE(pool.executor("x0").Runs(First("a")));
+}
+
+// Guards against the same for another run of a task that is done: the stop of it was lost, as its
+// executor could not be reached until the handover.
+TEST(HandoverTest, SlowCopyOfATaskThatIsDoneIsStopped) {
+  FakePool pool(2);
+  pool.executor("x0").slowdown_factor = 100;
+  pool.executor("x1").reachable = false;
+  pool.Run(100ms);
+  StepSpec step = MakeStep(1, 1000, 300ms);
+  step.copies_allowed = true;
+  pool.Submit(MakeJob("a", {step, MakeStep(1, 1000, 10s, {0})}));
+  pool.Run(100ms);
+  ASSERT_TRUE(pool.executor("x0").Runs(First("a")));
+  pool.executor("x0").reachable = false;
+  pool.executor("x1").reachable = true;
+  pool.Run(500ms);
+  ASSERT_TRUE(pool.executor("x1").done().contains(First("a")));
+  ASSERT_TRUE(pool.HandOver());
+  pool.executor("x0").reachable = true;
+  pool.Run(300ms);
+  EXPECT_FALSE(pool.executor("x0").Runs(First("a")));
+}
+
 // Guards against a lease bound that starts anew with each owner of a rolling restart: what is left
 // of it is handed over, also by an owner that never heard from the executor itself.
 TEST(HandoverTest, LeaseOfAnExecutorThatHasGoneDoesNotStartAnew) {
