Open occurrences that lie before a recorded one

A successor continued after the highest occurrence that the progress of a job recorded. An earlier owner may have adopted tasks of an occurrence that was not due on its own clock; occurrences between the finished ones and that one were then recorded nowhere, were never opened, and the job never ended.

Opening now continues after the finished occurrences and passes over those that are recorded.

PoolSchedulerTest.OccurrencesBeforeARecordedOneAreNotSkipped failed before and passes now.

--- a/src/decisions/scheduling/internal/job.cc
+++ b/src/decisions/scheduling/internal/job.cc
@@ -169,9 +169,10 @@
   m_finished_prefix = progress.finished_occurrences;
   std::erase_if(m_occurrences,
                 [this](const auto& entry) { return entry.first < m_finished_prefix; });
+  // Occurrences below a recorded one may not have been opened: a previous owner may have adopted
+  // tasks of a later one. OpenOccurrence passes over those that are recorded.
   m_next_occurrence = std::max(m_next_occurrence, m_finished_prefix);
   for (const JobProgress::Occurrence& record : progress.occurrences) {
-    m_next_occurrence = std::max(m_next_occurrence, record.number + 1);
     if (record.steps.empty()) {
       m_finished_occurrences.insert(record.number);
       m_occurrences.erase(record.number);
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -318,6 +318,27 @@
   EXPECT_EQ(pool.scheduler().TakeCommit(98).removed_jobs, expired);
 }
 
+// Guards against an occurrence that never runs (LOST): a later one was recorded first, as an owner
+// whose clock was ahead had started it, and the next owner went on after that one.
+TEST(PoolSchedulerTest, OccurrencesBeforeARecordedOneAreNotSkipped) {
+  JobDefinition definition = MakeJob("a", {MakeStep(1, 1000, 100ms)});
+  definition.schedule = {.first_due_unix_ms = 1000, .interval_ms = 1000, .occurrences = 5};
+  const auto shared = std::make_shared<const JobDefinition>(definition);
+  for (const std::vector<std::string>& steps :
+       {std::vector<std::string>{"-"}, std::vector<std::string>{}}) {
+    Job job(shared, TimePoint(1s), true);
+    job.Restore({.state = JobState::kRunning,
+                 .finished_occurrences = 1,
+                 .occurrences = {{.number = 3, .steps = steps}}});
+    job.OpenOccurrences(5000);
+    EXPECT_TRUE(job.occurrences().contains(1));
+    EXPECT_TRUE(job.occurrences().contains(2));
+    EXPECT_EQ(job.occurrences().contains(3), !steps.empty()) << "it is recorded as finished";
+    EXPECT_TRUE(job.occurrences().contains(4));
+    EXPECT_EQ(job.occurrences().contains(0), false);
+  }
+}
+
 // Guards against occurrences that start before they are due or are lost in a takeover.
 TEST(PoolSchedulerTest, OccurrencesRunWhenTheyAreDue) {
   FakePool pool(1);
