Wait for executors whose link cannot be decoded

A new owner left out executors whose stored link it could not decode, and started tasks at once that might still run there. The key of the row names the executor, so it is inherited without an address; the registry has that.

LoadedStateTest.ExecutorWithAnUnreadableLinkIsInherited failed before and passes now.

--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -210,13 +210,15 @@
   if (!jobs.ok()) co_return jobs.ret();
   const auto handover = co_await LoadHandover();
   for (const Row& row : links->rows) {
-    const auto link = DecodeLink(scheduling::ExecutorId(row.key.key), row.value);
-    if (link.ok()) {
-      m_scheduler->InheritExecutor(link.value());
-    } else {
+    const scheduling::ExecutorId executor(row.key.key);
+    const auto link = DecodeLink(executor, row.value);
+    if (!link.ok()) {
       Log(LogLevel::kError, "link_unreadable",
           {{"executor", row.key.key}, {"error", link.ret().message()}});
     }
+    // Tasks may run on the executor all the same. Its address is in the registry.
+    m_scheduler->InheritExecutor(link.ok() ? link.value()
+                                           : scheduling::LinkRecord{.executor = executor});
   }
   std::map<JobId, scheduling::JobProgress> states;
   for (const Row& row : progress->rows) {
--- a/src/fleet/tests/ownership_test.cc
+++ b/src/fleet/tests/ownership_test.cc
@@ -266,5 +266,19 @@
       });
 }
 
+// Guards against a task that runs twice at a time: the link of an executor cannot be decoded, and
+// the new owner starts tasks that may still run there before it has called that executor.
+TEST_F(LoadedStateTest, ExecutorWithAnUnreadableLinkIsInherited) {
+  const scheduling::ExecutorId executor("x1");
+  m_rows.Apply({.puts = {{.key = LinkKey(m_pool, executor), .value = "{\"born\":\"?\"}"}}});
+  Store(Job("b"));
+  RunOwner([](const auto& scheduler) { return scheduler.HoldsJob(JobId("b")); },
+           [&](const auto& scheduler) {
+             const auto found = scheduler.executors().find(executor);
+             ASSERT_NE(found, scheduler.executors().end());
+             EXPECT_TRUE(found->second.inherited);
+           });
+}
+
 }  // namespace
 }  // namespace citronferry::fleet
