Start no task of a job whose progress cannot be decoded

A new owner that could not decode the progress of a job took the job for a new one and started all its tasks again. It now leaves the job out and logs it: the state of the job is unknown to clients, and an owner that can decode the row goes on with it.

LoadedStateTest.JobWithUnreadableProgressIsNotStarted failed before and passes now.

--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -221,11 +221,13 @@
                                            : scheduling::LinkRecord{.executor = executor});
   }
   std::map<JobId, scheduling::JobProgress> states;
+  std::set<JobId> unreadable;  // Which of their tasks are done is not known, so none is started.
   for (const Row& row : progress->rows) {
     auto state = DecodeProgress(row.value);
     if (state.ok()) {
       states.emplace(JobId(row.key.key), std::move(state).value());
     } else {
+      unreadable.emplace(row.key.key);
       Log(LogLevel::kError, "progress_unreadable",
           {{"request", row.key.key}, {"error", state.ret().message()}});
     }
@@ -236,7 +238,7 @@
   for (const Row& row : jobs->rows) {
     if (CancelledJob(row.key.key)) continue;
     const auto job = ReadDefinition(row);
-    if (!job) continue;
+    if (!job || unreadable.contains(job->id)) continue;
     const Duration age =
         std::clamp<Duration>(std::chrono::milliseconds(unix_ms - job->accepted_unix_ms),
                              Duration::zero(), kMaxInheritedAge);
--- a/src/fleet/tests/ownership_test.cc
+++ b/src/fleet/tests/ownership_test.cc
@@ -266,6 +266,20 @@
       });
 }
 
+// Guards against a job of which all tasks run again (TWICE) because its progress cannot be decoded
+// and it is taken for a job without any.
+TEST_F(LoadedStateTest, JobWithUnreadableProgressIsNotStarted) {
+  Store(Job("a"));
+  StoreProgress(JobId("a"), R"({"state":17})");
+  Store(Job("b"));
+  RunOwner([](const auto& scheduler) { return scheduler.HoldsJob(JobId("b")); },
+           [](const auto& scheduler) {
+             EXPECT_FALSE(scheduler.HoldsJob(JobId("a")));
+             EXPECT_EQ(scheduler.open_jobs(), 1u);
+           });
+  EXPECT_TRUE(m_rows.Has(ProgressKey(m_pool, JobId("a"))));
+}
+
 // Guards against a task that runs twice at a time: the link of an executor cannot be decoded, and
 // the new owner starts tasks that may still run there before it has called that executor.
 TEST_F(LoadedStateTest, ExecutorWithAnUnreadableLinkIsInherited) {
