Keep the progress of a job whose definition cannot be decoded

A new owner removed progress of jobs that it did not hold, for it took their definitions for removed. A definition that it could not decode is still there, and an owner that can decode it would have started all tasks again. Progress is now removed only if no definition is stored.

LoadedStateTest.ProgressIsKeptWhileTheDefinitionIsThere failed before and passes now.

--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -235,8 +235,10 @@
   co_await LoadRunTimes();
   const TimePoint now = m_context.timers.Now();
   const int64_t unix_ms = UnixMilliseconds();
+  std::set<JobId> defined;
   for (const Row& row : jobs->rows) {
     if (CancelledJob(row.key.key)) continue;
+    defined.emplace(row.key.key);
     const auto job = ReadDefinition(row);
     if (!job || unreadable.contains(job->id)) continue;
     const Duration age =
@@ -255,7 +257,7 @@
   m_jobs.StartAt(jobs->version);
   // A previous owner has removed the definitions of these jobs, but not their progress.
   for (const auto& [id, state] : states) {
-    if (!m_scheduler->HoldsJob(id)) m_scheduler->OnDefinitionsRemoved(std::span(&id, 1));
+    if (!defined.contains(id)) m_scheduler->OnDefinitionsRemoved(std::span(&id, 1));
   }
   Log(LogLevel::kInfo, "pool_loaded",
       {{"pool", m_pool.view()},
--- a/src/fleet/tests/ownership_test.cc
+++ b/src/fleet/tests/ownership_test.cc
@@ -280,6 +280,19 @@
   EXPECT_TRUE(m_rows.Has(ProgressKey(m_pool, JobId("a"))));
 }
 
+// Guards against the same at a later takeover: the progress of a job whose definition cannot be
+// decoded was removed, as if the definition had been removed before.
+TEST_F(LoadedStateTest, ProgressIsKeptWhileTheDefinitionIsThere) {
+  const JobId job("a");
+  m_rows.Apply({.puts = {{.key = JobKey(m_pool, job), .value = "{}"}}});
+  StoreProgress(job, EncodeProgress({.state = scheduling::JobState::kCompleted}));
+  const JobId removed("r");
+  StoreProgress(removed, EncodeProgress({.state = scheduling::JobState::kCompleted}));
+  RunOwner([&](const auto&) { return !m_rows.Has(ProgressKey(m_pool, removed)); },
+           [](const auto&) {});
+  EXPECT_TRUE(m_rows.Has(ProgressKey(m_pool, job)));
+}
+
 // Guards against a task that runs twice at a time: the link of an executor cannot be decoded, and
 // the new owner starts tasks that may still run there before it has called that executor.
 TEST_F(LoadedStateTest, ExecutorWithAnUnreadableLinkIsInherited) {
