Accept a job in one pool only

The condition of a submission covered the pool that the configuration named for the queue at that moment. If the queue was sent to another service, or entries had different configurations, a repeated submission was accepted in a second pool, and the owners of both ran its tasks.

The transaction of a submission now also writes a row with the pool of the job, on condition that it does not exist. The jobs of all pools share four partitions, so that it remains one transaction of one partition; a batch holds 33 jobs instead of 50. Requests for a job that the queue's pool does not have look up that row, which takes one more read. The row is removed with the definition. Jobs that earlier versions have stored are in other partitions and are not found.

JobRepositoryTest.JobIsAcceptedInOnePoolOnly and JobRepositoryTest.SubmissionsAtTheSameTimeAreAcceptedInOnePoolOnly failed before and pass now.

--- a/src/fleet/entry/internal/job_repository.cc
+++ b/src/fleet/entry/internal/job_repository.cc
@@ -10,9 +10,9 @@
 namespace citronferry::fleet {
 namespace {
 
-// Each job takes a condition and a put. Even with the largest payloads a batch stays below the
+// Each job takes a condition and two puts. Even with the largest payloads a batch stays below the
 // store's limit of one megabyte for a transaction.
-constexpr size_t kMaxBatch = kMaxTransactionEntries / 2;
+constexpr size_t kMaxBatch = kMaxTransactionEntries / 3;
 // Two attempts fit into the three seconds that clients usually wait.
 constexpr Duration kWriteTimeout = 1100ms;
 constexpr Duration kInitialRetryDelay = 30ms;
@@ -30,6 +30,8 @@
 QCoro::Task<CallOutcome> JobRepository::Submit(PoolName pool, scheduling::JobDefinition definition,
                                                TimePoint deadline) {
   auto submission = std::make_shared<Submission>();
+  submission->pool_key = JobPoolKey(definition.id);
+  submission->pool = pool;
   submission->key = JobKey(pool, definition.id);
   submission->value = EncodeJob(definition);
   submission->deadline = deadline - kAnswerMargin;
@@ -49,8 +51,9 @@
     while (!queue.waiting.empty() && batch.size() < kMaxBatch) {
       const auto& next = queue.waiting.front();
       // A transaction cannot contain a job twice: its condition says that the job does not exist.
-      const bool twice = std::any_of(batch.begin(), batch.end(),
-                                     [&](const auto& other) { return other->key == next->key; });
+      const bool twice = std::any_of(batch.begin(), batch.end(), [&](const auto& other) {
+        return other->pool_key == next->pool_key;
+      });
       if (twice) break;
       batch.push_back(next);
       queue.waiting.pop_front();
@@ -63,7 +66,7 @@
 void JobRepository::AcceptExisting(std::span<const Row> rows, Submissions& batch) {
   std::erase_if(batch, [&](const std::shared_ptr<Submission>& submission) {
     const bool present = std::any_of(rows.begin(), rows.end(), [&](const Row& row) {
-      return row.version != 0 && row.key == submission->key;
+      return row.version != 0 && row.key == submission->pool_key;
     });
     if (present) submission->outcome.Set(CallOutcome::kAccepted);
     return present;
@@ -88,7 +91,8 @@
   while (!batch.empty()) {
     Transaction transaction;
     for (const auto& submission : batch) {
-      transaction.conditions.push_back({.key = submission->key});
+      transaction.conditions.push_back({.key = submission->pool_key});
+      transaction.puts.push_back({.key = submission->pool_key, .value = submission->pool.str()});
       transaction.puts.push_back({.key = submission->key, .value = submission->value});
     }
     const TransactionResult result =
@@ -131,6 +135,19 @@
 }
 
 QCoro::Task<JobLookup> JobRepository::Show(PoolName pool, JobId job) {
+  JobLookup lookup = co_await ShowInPool(pool, job);
+  if (lookup.kind != JobLookup::Kind::kNoSuchJob) co_return lookup;
+  // The queue may have been sent to this pool after the job was accepted in another one.
+  const RowKey key = JobPoolKey(job);
+  const auto range =
+      co_await m_context.platform.rows.Read(key.table, key.partition, key.key, key.key + '\x01');
+  if (!range.ok()) co_return JobLookup{};
+  if (range->rows.empty() || range->rows.front().value == pool.view()) co_return lookup;
+  PoolName accepted_in(range->rows.front().value);
+  co_return co_await ShowInPool(std::move(accepted_in), job);
+}
+
+QCoro::Task<JobLookup> JobRepository::ShowInPool(PoolName pool, JobId job) {
   RowStore& rows = m_context.platform.rows;
   const RowKey progress_key = ProgressKey(pool, job);
   // Covers the keys of a job: its id, and its id with the suffix of cancellations.
@@ -138,7 +155,7 @@
   const auto progress =
       co_await rows.Read(progress_key.table, progress_key.partition, job.str(), end);
   if (!progress.ok()) co_return JobLookup{};
-  JobLookup lookup{.kind = JobLookup::Kind::kFound};
+  JobLookup lookup{.kind = JobLookup::Kind::kFound, .pool = pool};
   if (!progress->rows.empty()) {
     const auto decoded = DecodeProgress(progress->rows.front().value);
     if (!decoded.ok()) {
@@ -175,7 +192,7 @@
   Backoff backoff(kInitialRetryDelay, kMaxRetryDelay);
   bool uncertain = false;
   int refusals = 0;
-  const Transaction transaction{.puts = {{.key = CancelKey(pool, job), .value = "{}"}}};
+  const Transaction transaction{.puts = {{.key = CancelKey(lookup.pool, job), .value = "{}"}}};
   while (m_context.timers.Now() < deadline - kAnswerMargin) {
     const TransactionResult result = co_await rows.Transact(transaction, kWriteTimeout);
     if (result.outcome == TransactionOutcome::kApplied) co_return CallOutcome::kCancelled;
--- a/src/fleet/entry/job_repository.h
+++ b/src/fleet/entry/job_repository.h
@@ -23,6 +23,7 @@
   Kind kind = Kind::kUnknown;
   scheduling::JobState state = scheduling::JobState::kQueued;
   TeamName team;  ///< Team that submitted the job; empty if none did.
+  PoolName pool;  ///< Pool that has accepted the job.
 };
 
 /// @return whether a caller of one team may see and cancel a job of another. Jobs and callers of
@@ -37,14 +38,17 @@
  public:
   explicit JobRepository(FleetContext& context) : m_context(context) {}
 
-  /// Makes a job durable. Submitting a job again is accepted and has no effect.
+  /// Makes a job durable. Submitting a job again is accepted and has no effect, also if its queue
+  /// is served by another pool by then.
   /// @param pool that serves the queue of the job.
   /// @param deadline when the client stops waiting.
   QCoro::Task<CallOutcome> Submit(PoolName pool, scheduling::JobDefinition definition,
                                   TimePoint deadline);
   /// Reads the state of a job.
+  /// @param pool that serves the queue of the job; another one may have accepted it.
   QCoro::Task<JobLookup> Show(PoolName pool, JobId job);
   /// Makes the cancellation of a job durable.
+  /// @param pool as for Show.
   /// @param team of the caller; empty if any caller may cancel the job.
   /// @param deadline when the client stops waiting.
   /// @return kOtherTeam if the job belongs to another team.
@@ -57,7 +61,9 @@
 
  private:
   struct Submission {
-    RowKey key;
+    RowKey pool_key;  ///< Of the row with the pool of the job; it must not exist.
+    PoolName pool;
+    RowKey key;  ///< Of the definition.
     std::string value;
     TimePoint deadline{};    ///< When the client has to be answered.
     bool uncertain = false;  ///< An attempt got no response, so the job may be stored.
@@ -69,6 +75,8 @@
     bool flushing = false;  ///< A task writes the waiting submissions.
   };
 
+  /// Reads the state of a job from the rows of one pool.
+  QCoro::Task<JobLookup> ShowInPool(PoolName pool, JobId job);
   /// Writes the waiting submissions of a partition, batch by batch.
   QCoro::Task<void> Flush(std::string partition);
   /// Writes a batch in one transaction, which is repeated until its outcome is known or all
--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -20,16 +20,17 @@
 
 constexpr std::string_view kCancelSuffix = ".cancel";
 
-// At the target load a surge brings 190 jobs a second to a pool, and the entries may write each in
-// a transaction of its own; a partition takes 200 transactions a second.
+// A partition takes 200 transactions a second and the store 600 in all, so that this many
+// partitions take whatever the entries write, even if each job has a transaction of its own.
 constexpr uint64_t kJobPartitions = 4;
+constexpr std::string_view kJobPartitionPrefix = "jobs/";
 
-std::string JobPartition(const PoolName& pool, uint64_t number) {
-  return pool.str() + "/jobs-" + std::to_string(number);
+std::string JobPartition(uint64_t number) {
+  return std::string(kJobPartitionPrefix) + std::to_string(number);
 }
 
-std::string PartitionOf(const PoolName& pool, const JobId& job) {
-  return JobPartition(pool, RendezvousWeight(pool.view(), job.view()) % kJobPartitions);
+std::string PartitionOf(const JobId& job) {
+  return JobPartition(RendezvousWeight(kJobPartitionPrefix, job.view()) % kJobPartitions);
 }
 
 constexpr std::string_view kGrantMembers = "members";
@@ -129,9 +130,9 @@
 
 std::string JobsTable(const PoolName& pool) { return "jobs-" + pool.str(); }
 
-std::vector<std::string> JobPartitions(const PoolName& pool) {
+std::vector<std::string> JobPartitions() {
   std::vector<std::string> partitions;
-  for (uint64_t i = 0; i < kJobPartitions; ++i) partitions.push_back(JobPartition(pool, i));
+  for (uint64_t i = 0; i < kJobPartitions; ++i) partitions.push_back(JobPartition(i));
   return partitions;
 }
 
@@ -159,11 +160,14 @@
   return {.table = kLinksTable, .partition = pool.str(), .key = executor.str()};
 }
 RowKey JobKey(const PoolName& pool, const JobId& job) {
-  return {.table = JobsTable(pool), .partition = PartitionOf(pool, job), .key = job.str()};
+  return {.table = JobsTable(pool), .partition = PartitionOf(job), .key = job.str()};
+}
+RowKey JobPoolKey(const JobId& job) {
+  return {.table = kJobPoolsTable, .partition = PartitionOf(job), .key = job.str()};
 }
 RowKey CancelKey(const PoolName& pool, const JobId& job) {
   return {.table = JobsTable(pool),
-          .partition = PartitionOf(pool, job),
+          .partition = PartitionOf(job),
           .key = job.str() + std::string(kCancelSuffix)};
 }
 RowKey ProgressKey(const PoolName& pool, const JobId& job) {
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -67,8 +67,8 @@
       m_pool(std::move(pool)),
       m_ownership(ownership),
       m_directory(context),
-      m_jobs(MakeTableFeed(context.platform.rows, JobsTable(m_pool), JobPartitions(m_pool),
-                           kFollowWait)) {
+      m_jobs(
+          MakeTableFeed(context.platform.rows, JobsTable(m_pool), JobPartitions(), kFollowWait)) {
   m_scheduler = std::make_unique<PoolScheduler>(
       scheduling::SchedulerOptions{
           .epoch = ownership.epoch,
@@ -206,7 +206,7 @@
   if (!links.ok()) co_return links.ret();
   const auto progress = co_await ReadPartition(rows, kProgressTable, m_pool.str());
   if (!progress.ok()) co_return progress.ret();
-  const auto jobs = co_await ReadPartitions(rows, JobsTable(m_pool), JobPartitions(m_pool));
+  const auto jobs = co_await ReadPartitions(rows, JobsTable(m_pool), JobPartitions());
   if (!jobs.ok()) co_return jobs.ret();
   const auto handover = co_await LoadHandover();
   for (const Row& row : links->rows) {
@@ -510,13 +510,15 @@
     for (auto& [partition, jobs] : by_partition) {
       if (m_ended.requested()) co_return;
       // Jobs that exceed one transaction wait for the next pass.
-      const size_t count = std::min(jobs.size(), kMaxTransactionEntries / 2);
+      constexpr size_t kRowsOfJob = 3;
+      const size_t count = std::min(jobs.size(), kMaxTransactionEntries / kRowsOfJob);
       m_scheduler->OnRemovalFailed(std::span(jobs).subspan(count));
       jobs.resize(count);
       Transaction transaction;
       for (const JobId& job : jobs) {
         transaction.removals.push_back(JobKey(m_pool, job));
         transaction.removals.push_back(CancelKey(m_pool, job));
+        transaction.removals.push_back(JobPoolKey(job));
       }
       const TransactionResult result =
           co_await m_context.platform.rows.Transact(std::move(transaction), kRemovalTimeout);
--- a/src/fleet/tables.h
+++ b/src/fleet/tables.h
@@ -22,11 +22,16 @@
 //
 // A pool's owner writes its rows to the partition named after the pool, so that one transaction can
 // contain all of them. Jobs are in other partitions: a partition takes 200 transactions a second,
-// and the submissions of a surge must not delay the transactions that renew the ownership.
+// and the submissions of a surge must not delay the transactions that renew the ownership. These
+// partitions are the same for all pools, so that the transaction of a submission can make sure that
+// no pool has the job.
 
 RowKey OwnerKey(const PoolName& pool);
 RowKey LinkKey(const PoolName& pool, const scheduling::ExecutorId& executor);
 RowKey JobKey(const PoolName& pool, const JobId& job);
+/// @return the key of the row with the name of the pool that has accepted a job. It is written and
+///   removed together with the definition of the job.
+RowKey JobPoolKey(const JobId& job);
 RowKey CancelKey(const PoolName& pool, const JobId& job);
 RowKey ProgressKey(const PoolName& pool, const JobId& job);
 RowKey QueueKey(const PoolName& pool, const QueueName& queue);
@@ -49,6 +54,7 @@
 inline constexpr const char* kLinksTable = "links";
 inline constexpr const char* kProgressTable = "progress";
 inline constexpr const char* kQueuesTable = "queues";
+inline constexpr const char* kJobPoolsTable = "job-pools";
 inline constexpr const char* kReleasesTable = "releases";
 inline constexpr const char* kHandoversTable = "handovers";
 inline constexpr const char* kDemandTable = "demand";    ///< Its only partition has the same name.
@@ -57,8 +63,8 @@
 /// @return the table of a pool's job definitions and cancellations. Each pool has its own table,
 ///   since a feed covers a whole table.
 std::string JobsTable(const PoolName& pool);
-/// @return the partitions over which a pool's jobs are distributed by a hash of their ids.
-std::vector<std::string> JobPartitions(const PoolName& pool);
+/// @return the partitions over which the jobs of all pools are distributed by a hash of their ids.
+std::vector<std::string> JobPartitions();
 /// @param key of a row in a jobs table.
 /// @return the cancelled job, or nothing if the key is that of a job definition.
 std::optional<JobId> CancelledJob(std::string_view key);
--- a/src/fleet/tests/job_repository_test.cc
+++ b/src/fleet/tests/job_repository_test.cc
@@ -51,6 +51,48 @@
   EXPECT_EQ(Submit("d"), CallOutcome::kUnknownOutcome);
 }
 
+// Guards against a job that runs in two pools (TWICE): its queue was sent to another pool between
+// two submissions, or another entry has another configuration, and both pools accepted it.
+TEST_F(JobRepositoryTest, JobIsAcceptedInOnePoolOnly) {
+  const PoolName other("other");
+  const JobId job("a");
+  EXPECT_EQ(Submit("a"), CallOutcome::kAccepted);
+  JobRepository entry(m_context);
+  EXPECT_EQ(Await(entry.Submit(other, Job("a"), m_timers->Now() + 3s)), CallOutcome::kAccepted);
+  EXPECT_TRUE(m_rows.Has(JobKey(m_pool, job)));
+  EXPECT_FALSE(m_rows.Has(JobKey(other, job)));
+  EXPECT_EQ(Await(entry.Show(other, job)).kind, JobLookup::Kind::kFound);
+  EXPECT_EQ(Await(entry.Cancel(other, job, TeamName(), m_timers->Now() + 3s)),
+            CallOutcome::kCancelled);
+  EXPECT_TRUE(m_rows.Has(CancelKey(m_pool, job)));
+  EXPECT_EQ(Await(entry.Show(other, job)).state, scheduling::JobState::kCancelled);
+  EXPECT_EQ(Await(entry.Show(other, JobId("z"))).kind, JobLookup::Kind::kNoSuchJob);
+}
+
+// Guards against the same when both submissions wait for the store, at one entry or at two.
+TEST_F(JobRepositoryTest, SubmissionsAtTheSameTimeAreAcceptedInOnePoolOnly) {
+  const PoolName other("other");
+  m_rows.timers = m_timers.get();
+  JobRepository entry(m_context);
+  int accepted = 0;
+  TaskScope scope;
+  const auto submit = [&](JobRepository& jobs, const PoolName& pool) {
+    scope.Spawn([this, &jobs, &accepted, pool]() -> QCoro::Task<void> {
+      if (co_await jobs.Submit(pool, Job("a"), m_timers->Now() + 3s) == CallOutcome::kAccepted) {
+        ++accepted;
+      }
+    });
+  };
+  submit(m_jobs, m_pool);
+  submit(m_jobs, other);
+  submit(m_jobs, m_pool);
+  submit(entry, other);
+  submit(entry, m_pool);
+  ASSERT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+  EXPECT_EQ(accepted, 5);
+  EXPECT_NE(m_rows.Has(JobKey(m_pool, JobId("a"))), m_rows.Has(JobKey(other, JobId("a"))));
+}
+
 // When the store rejects the calls of this entry, the client must be told well before its deadline,
 // so that it can try another entry.
 TEST_F(JobRepositoryTest, StoreRejectionIsReportedPromptly) {
@@ -74,7 +116,7 @@
     EXPECT_EQ(CancelKey(m_pool, job).partition, JobKey(m_pool, job).partition);
   }
   EXPECT_FALSE(in_partition.contains(OwnerKey(m_pool).partition));
-  const std::vector<std::string> known = JobPartitions(m_pool);
+  const std::vector<std::string> known = JobPartitions();
   for (const auto& [partition, count] : in_partition) {
     EXPECT_LE(count, kMostInOnePartition);
     EXPECT_TRUE(std::find(known.begin(), known.end(), partition) != known.end());
--- a/src/fleet/tests/ownership_test.cc
+++ b/src/fleet/tests/ownership_test.cc
@@ -1,3 +1,4 @@
+#include "fleet/entry/job_repository.h"
 #include "fleet/pool/internal/instance_directory.h"
 #include "fleet/pool/internal/maintenance_slots.h"
 #include "fleet/pool/internal/owner_elector.h"
@@ -307,5 +308,22 @@
            });
 }
 
+// Guards against rows that stay behind when an expired job is removed: they would take up space for
+// ever, and the id could not be used again.
+TEST_F(LoadedStateTest, RemovedJobLeavesNoRow) {
+  m_options.status_retention = 0s;
+  const scheduling::JobDefinition job = Job("a");
+  JobRepository jobs(m_context);
+  EXPECT_EQ(Await(jobs.Submit(m_pool, job, m_timers->Now() + 3s)), CallOutcome::kAccepted);
+  StoreProgress(job.id, EncodeProgress({.state = scheduling::JobState::kCompleted}));
+  RunOwner([&](const auto&) { return !m_rows.Has(ProgressKey(m_pool, job.id)); },
+           [](const auto&) {});
+  EXPECT_FALSE(m_rows.Has(JobKey(m_pool, job.id)));
+  EXPECT_FALSE(m_rows.Has(JobPoolKey(job.id)));
+  EXPECT_EQ(Await(jobs.Submit(PoolName("other"), job, m_timers->Now() + 3s)),
+            CallOutcome::kAccepted);
+  EXPECT_TRUE(m_rows.Has(JobKey(PoolName("other"), job.id)));
+}
+
 }  // namespace
 }  // namespace citronferry::fleet
