Test takeovers between the commits of a split batch

Progress that exceeds one commit was read to be written before ends are acknowledged and before links are written with their numbers; no test showed it. An owner is now killed after each of twelve rounds in which commits hold three rows, and no task may start again.

The test passes; it fails if TakeCommit takes ends and links before all progress.

--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -342,7 +342,7 @@
   void Commit() {
     if (store_unavailable) return;
     ++m_version;
-    CommitBatch batch = m_scheduler->TakeCommit(98);
+    CommitBatch batch = m_scheduler->TakeCommit(commit_rows);
     if (links_delayed) {
       CommitBatch later;
       later.links = std::exchange(batch.links, {});
@@ -402,6 +402,7 @@
   bool owner_paused = false;
   bool store_unavailable = false;
   bool links_delayed = false;  ///< Commits have no space for the rows of links.
+  size_t commit_rows = 98;     ///< Most rows of a commit.
   int link_writes = 0;         ///< Rows of links that were committed.
   bool repeat_starts = false;
   /// Time without a response after which the owner takes an executor for unresponsive.
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -318,6 +318,32 @@
   EXPECT_EQ(pool.scheduler().TakeCommit(98).removed_jobs, expired);
 }
 
+// Guards against a task that is started again after its end (TWICE): many jobs end at once, their
+// progress takes several commits, and an owner is killed between two of them. No end may be
+// acknowledged, nor a link written with its number, before the progress is durable.
+TEST(PoolSchedulerTest, OwnerKilledBetweenCommitsOfASplitBatchRepeatsNoTask) {
+  constexpr int kJobs = 24;
+  for (int killed_after = 1; killed_after <= 12; ++killed_after) {
+    FakePool pool(3);
+    pool.Run(100ms);
+    pool.commit_rows = 3;
+    for (int i = 0; i < kJobs; ++i) {
+      pool.Submit(MakeJob("j" + std::to_string(i),
+                          {MakeStep(1, 1000, 100ms), MakeStep(1, 1000, 100ms, {0})}));
+    }
+    pool.Run(100ms);
+    // A restart makes the owner write a link while ends of the other executors are not durable.
+    pool.executor("x2").Restart();
+    pool.Run(FakePool::kStep * killed_after);
+    pool.TakeOver();
+    pool.Run(20s);
+    EXPECT_EQ(pool.ledger().FindRepeatedTask(), std::nullopt) << killed_after;
+    for (int i = 0; i < kJobs; ++i) {
+      EXPECT_EQ(pool.State(JobId("j" + std::to_string(i))), JobState::kCompleted) << i;
+    }
+  }
+}
+
 // Guards against an occurrence that never runs (LOST): a later one was recorded first, as an owner
 // whose clock was ahead had started it, and the next owner went on after that one.
 TEST(PoolSchedulerTest, OccurrencesBeforeARecordedOneAreNotSkipped) {
