Count the retention of inherited final jobs from the takeover

A new owner does not know when an inherited job ended, and counted its retention from its acceptance, up to 60 s before the takeover. The state of a job that had just ended was forgotten 70 s later, although it has to be shown for two minutes.

PoolSchedulerTest.RetentionOfAnInheritedFinalJobStartsAtTheTakeover failed before and passes now.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -169,8 +169,9 @@
   // The rate of a team is not known for the time before the takeover.
   if (!inherited) job->beyond_rate = !m_team_shares.OnArrival(job->definition()->team, accepted_at);
   if (job->is_final()) {
-    job->final_since = accepted_at;
-    m_final_jobs.emplace_back(accepted_at, id);
+    // When it ended is not stored.
+    job->final_since = m_options.taken_over_at;
+    m_final_jobs.emplace_back(m_options.taken_over_at, id);
   } else {
     m_open_jobs.insert(id);
     m_plan_needed = true;
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -344,6 +344,20 @@
   }
 }
 
+// Guards against a final state that is forgotten too early (LOST): the new owner knows when the job
+// was accepted, not when it ended, and counted the retention from there.
+TEST(PoolSchedulerTest, RetentionOfAnInheritedFinalJobStartsAtTheTakeover) {
+  const TimePoint now(100s);
+  PoolScheduler scheduler({.taken_over_at = now, .final_retention = 130s});
+  const JobProgress completed{.state = JobState::kCompleted, .finished_occurrences = 1};
+  scheduler.AddJob(std::make_shared<const JobDefinition>(MakeJob("a", {MakeStep(1, 1000, 100ms)})),
+                   &completed, now - 60s, true);
+  scheduler.Advance(now + 125s, 0);
+  EXPECT_TRUE(scheduler.HoldsJob(JobId("a")));
+  scheduler.Advance(now + 131s, 0);
+  EXPECT_EQ(scheduler.TakeExpiredJobs(), std::vector<JobId>{JobId("a")});
+}
+
 // Guards against an occurrence that never runs (LOST): a later one was recorded first, as an owner
 // whose clock was ahead had started it, and the next owner went on after that one.
 TEST(PoolSchedulerTest, OccurrencesBeforeARecordedOneAreNotSkipped) {
