Show jobs of another pool to their own team only

Callers of public queues may see and cancel any job of their queue's pool. The row with a job's pool would have let them reach the jobs of teams in all pools by their ids.

JobRepositoryTest.JobsOfOtherPoolsAreForTheirTeamsOnly failed before and passes now.

--- a/src/fleet/entry/internal/client_service.cc
+++ b/src/fleet/entry/internal/client_service.cc
@@ -149,7 +149,9 @@
   // A kept-alive connection to the store may be dead; the second attempt opens a new one.
   if (lookup.kind == JobLookup::Kind::kUnknown) lookup = co_await m_jobs.Show(call.queue.pool, job);
   if (lookup.kind == JobLookup::Kind::kFound) {
-    if (!MayAccess(call.team, lookup.team)) co_return protocol.Encode(CallOutcome::kOtherTeam);
+    if (!MayAccess(call.team, call.queue.pool, lookup)) {
+      co_return protocol.Encode(CallOutcome::kOtherTeam);
+    }
     co_return protocol.EncodeState(lookup.state);
   }
   co_return protocol.Encode(lookup.kind == JobLookup::Kind::kNoSuchJob ? CallOutcome::kNoSuchJob
--- a/src/fleet/entry/internal/job_repository.cc
+++ b/src/fleet/entry/internal/job_repository.cc
@@ -187,7 +187,7 @@
   const JobLookup lookup = co_await Show(pool, job);
   if (lookup.kind == JobLookup::Kind::kNoSuchJob) co_return CallOutcome::kNoSuchJob;
   if (lookup.kind == JobLookup::Kind::kUnknown) co_return CallOutcome::kNotAccepted;
-  if (!MayAccess(team, lookup.team)) co_return CallOutcome::kOtherTeam;
+  if (!MayAccess(team, pool, lookup)) co_return CallOutcome::kOtherTeam;
   if (scheduling::IsFinal(lookup.state)) co_return CallOutcome::kCancelled;
   Backoff backoff(kInitialRetryDelay, kMaxRetryDelay);
   bool uncertain = false;
--- a/src/fleet/entry/job_repository.h
+++ b/src/fleet/entry/job_repository.h
@@ -32,6 +32,13 @@
   return caller.empty() || owner.empty() || caller == owner;
 }
 
+/// @param pool that serves the queue of the call.
+/// @return whether a caller may see and cancel a job. One that another pool has accepted is shown
+///   to its own team only, since its queue may not be the one of the call.
+inline bool MayAccess(const TeamName& caller, const PoolName& pool, const JobLookup& job) {
+  return job.pool == pool ? MayAccess(caller, job.team) : caller == job.team;
+}
+
 /// Creates, reads and cancels jobs in the store. Submissions that arrive while a transaction is in
 /// progress are batched in the next one.
 class JobRepository {
--- a/src/fleet/tests/job_repository_test.cc
+++ b/src/fleet/tests/job_repository_test.cc
@@ -195,6 +195,22 @@
   EXPECT_FALSE(MayAccess(TeamName("u"), job.team));
 }
 
+// Guards against a caller of a public queue that cancels a job of a team through the row with the
+// job's pool.
+TEST_F(JobRepositoryTest, JobsOfOtherPoolsAreForTheirTeamsOnly) {
+  m_context.configuration.Set({.version = 1, .teams = {{.name = TeamName("t")}}});
+  scheduling::JobDefinition job = Job("a");
+  job.team = TeamName("t");
+  EXPECT_EQ(Await(m_jobs.Submit(m_pool, job, m_timers->Now() + 3s)), CallOutcome::kAccepted);
+  const PoolName other("other");
+  const auto cancel = [&](const TeamName& team) {
+    return Await(m_jobs.Cancel(other, job.id, team, m_timers->Now() + 3s));
+  };
+  EXPECT_EQ(cancel(TeamName()), CallOutcome::kOtherTeam);
+  EXPECT_EQ(cancel(TeamName("u")), CallOutcome::kOtherTeam);
+  EXPECT_EQ(cancel(job.team), CallOutcome::kCancelled);
+}
+
 // Guards against a number of pending jobs from long ago (MIXED, trouble-1 of the small twin of
 // madu-lmm-grown): without an owner that has read the pool's jobs, nobody updates it.
 TEST_F(JobRepositoryTest, PendingJobsAreUnknownWithoutAnOwner) {
