--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -67,8 +67,8 @@
       m_pool(std::move(pool)),
       m_ownership(ownership),
       m_directory(context),
-      m_jobs(MakeTableFeed(context.platform.rows, JobsTable(m_pool), JobPartitions(m_pool),
-                           kFollowWait)) {
+      m_jobs(
+          MakeTableFeed(context.platform.rows, JobsTable(m_pool), JobPartitions(), kFollowWait)) {
   m_scheduler = std::make_unique<PoolScheduler>(
       scheduling::SchedulerOptions{
           .epoch = ownership.epoch,
@@ -206,24 +206,28 @@
   if (!links.ok()) co_return links.ret();
   const auto progress = co_await ReadPartition(rows, kProgressTable, m_pool.str());
   if (!progress.ok()) co_return progress.ret();
-  const auto jobs = co_await ReadPartitions(rows, JobsTable(m_pool), JobPartitions(m_pool));
+  const auto jobs = co_await ReadPartitions(rows, JobsTable(m_pool), JobPartitions());
   if (!jobs.ok()) co_return jobs.ret();
   const auto handover = co_await LoadHandover();
   for (const Row& row : links->rows) {
-    const auto link = DecodeLink(scheduling::ExecutorId(row.key.key), row.value);
-    if (link.ok()) {
-      m_scheduler->InheritExecutor(link.value());
-    } else {
+    const scheduling::ExecutorId executor(row.key.key);
+    const auto link = DecodeLink(executor, row.value);
+    if (!link.ok()) {
       Log(LogLevel::kError, "link_unreadable",
           {{"executor", row.key.key}, {"error", link.ret().message()}});
     }
+    // Tasks may run on the executor all the same. Its address is in the registry.
+    m_scheduler->InheritExecutor(link.ok() ? link.value()
+                                           : scheduling::LinkRecord{.executor = executor});
   }
   std::map<JobId, scheduling::JobProgress> states;
+  std::set<JobId> unreadable;  // Which of their tasks are done is not known, so none is started.
   for (const Row& row : progress->rows) {
     auto state = DecodeProgress(row.value);
     if (state.ok()) {
       states.emplace(JobId(row.key.key), std::move(state).value());
     } else {
+      unreadable.emplace(row.key.key);
       Log(LogLevel::kError, "progress_unreadable",
           {{"request", row.key.key}, {"error", state.ret().message()}});
     }
@@ -231,10 +235,12 @@
   co_await LoadRunTimes();
   const TimePoint now = m_context.timers.Now();
   const int64_t unix_ms = UnixMilliseconds();
+  std::set<JobId> defined;
   for (const Row& row : jobs->rows) {
     if (CancelledJob(row.key.key)) continue;
+    defined.emplace(row.key.key);
     const auto job = ReadDefinition(row);
-    if (!job) continue;
+    if (!job || unreadable.contains(job->id)) continue;
     const Duration age =
         std::clamp<Duration>(std::chrono::milliseconds(unix_ms - job->accepted_unix_ms),
                              Duration::zero(), kMaxInheritedAge);
@@ -251,7 +257,7 @@
   m_jobs.StartAt(jobs->version);
   // A previous owner has removed the definitions of these jobs, but not their progress.
   for (const auto& [id, state] : states) {
-    if (!m_scheduler->HoldsJob(id)) m_scheduler->OnDefinitionsRemoved(std::span(&id, 1));
+    if (!defined.contains(id)) m_scheduler->OnDefinitionsRemoved(std::span(&id, 1));
   }
   Log(LogLevel::kInfo, "pool_loaded",
       {{"pool", m_pool.view()},
@@ -312,13 +318,14 @@
 
 QCoro::Task<void> PoolOwner::FollowJobs() {
   while (!m_ended.requested()) {
+    const int64_t followed = m_jobs.version();
     const auto changes = co_await m_jobs.Next();
     if (m_ended.requested()) co_return;
     if (!changes.ok()) {
       co_await SleepFor(m_context.timers, m_jobs.retry_delay(), &m_ended);
       continue;
     }
-    ApplyJobRows(changes->changed);
+    ApplyJobRows(changes->changed, followed);
     ProcessUpdates();
     co_await SleepFor(m_context.timers, kFollowPause, &m_ended);
   }
@@ -332,14 +339,16 @@
   return nullptr;
 }
 
-void PoolOwner::ApplyJobRows(std::span<const Row> rows) {
+void PoolOwner::ApplyJobRows(std::span<const Row> rows, int64_t followed) {
   const TimePoint now = m_context.timers.Now();
   for (const Row& row : rows) {
     if (const auto cancelled = CancelledJob(row.key.key)) {
       m_scheduler->CancelJob(*cancelled, now);
       continue;
     }
-    if (m_scheduler->HoldsJob(JobId(row.key.key))) continue;
+    // A snapshot has the rows of all jobs. One that was read before and is not held has expired and
+    // is not removed yet, or it could not be decoded; it is not a new job.
+    if (row.version <= followed || m_scheduler->HoldsJob(JobId(row.key.key))) continue;
     const auto definition = ReadDefinition(row);
     if (!definition) continue;
     LogNewJob(*definition);
@@ -501,13 +510,15 @@
     for (auto& [partition, jobs] : by_partition) {
       if (m_ended.requested()) co_return;
       // Jobs that exceed one transaction wait for the next pass.
-      const size_t count = std::min(jobs.size(), kMaxTransactionEntries / 2);
+      constexpr size_t kRowsOfJob = 3;
+      const size_t count = std::min(jobs.size(), kMaxTransactionEntries / kRowsOfJob);
       m_scheduler->OnRemovalFailed(std::span(jobs).subspan(count));
       jobs.resize(count);
       Transaction transaction;
       for (const JobId& job : jobs) {
         transaction.removals.push_back(JobKey(m_pool, job));
         transaction.removals.push_back(CancelKey(m_pool, job));
+        transaction.removals.push_back(JobPoolKey(job));
       }
       const TransactionResult result =
           co_await m_context.platform.rows.Transact(std::move(transaction), kRemovalTimeout);
