Judge the time of an instance in a pool by what the list can show

Cause: the owner of a pool takes an instance for its own by the list of instances. Three faults made it take one for settled that was not: a list that was requested earlier and answered later replaced a newer one; the time in the pool counted from the request, although a list whose response takes long may show a move that was ordered after it; and a move away and back between two reads left no trace.

Change: a list that was overtaken is dropped, the time counts from the response, and it starts again when the list was not read for holder_change_interval.

--- a/src/fleet/pool/internal/instance_directory.cc
+++ b/src/fleet/pool/internal/instance_directory.cc
@@ -24,12 +24,20 @@
     Log(LogLevel::kWarning, "instances_unknown", {{"error", listed.ret().message()}});
     co_return;
   }
+  // Responses on different connections may overtake each other.
+  if (m_loaded && now < m_read_at) co_return;
+  // The list may show orders that were given while its response was under way.
+  const TimePoint answered_at = m_context.timers.Now();
+  // In a longer time an instance can leave the pool and come back without being listed elsewhere.
+  const bool gap = answered_at - m_read_at > m_context.options.holder_change_interval;
   m_instances = std::move(listed).value();
   m_read_at = now;
   m_loaded = true;
   for (const Instance& instance : m_instances) {
     PoolMembership& membership = m_memberships[instance.id];
-    if (membership.pool != instance.pool) membership = {.pool = instance.pool, .since = now};
+    if (gap || membership.pool != instance.pool) {
+      membership = {.pool = instance.pool, .since = answered_at};
+    }
   }
 }
 
