Give one owner at a time the right to order an instance

Cause: nothing said which owner may order an instance. An order without a response was repeated with a newer token, so that its first copy could be carried out after the second, and the next move did not wait for it. A list that could not be read again was used however old it was.

Change: InstanceDirectory::MayOrder decides for moves and maintenance alike, from the list and the owner's own orders; docs/platform.md, "Orders to instances". A maintenance whose instance is listed in another pool is given up.

TwoOwnersTest.TokensOfAnInstanceRise exchanges 24 instances between two pools, with waves and with late and lost orders, responses and lists.

Measured: the five tests InstanceOrdersTest that are added here and the three cases of TwoOwnersTest failed before and pass now.

--- a/src/fleet/pool/internal/instance_directory.cc
+++ b/src/fleet/pool/internal/instance_directory.cc
@@ -10,6 +10,10 @@
 
 // Minimum time between two reads of the list, also after a failed one.
 constexpr Duration kMinInterval = 300ms;
+// Covers the mover's interval between reads of 1.5 s and a slow response.
+constexpr Duration kMaxListAgeForOrders = 2500ms;
+// An order without a response may still be carried out up to this much later.
+constexpr Duration kLateOrderWindow = 12s;
 
 }  // namespace
 
@@ -41,6 +45,46 @@
   }
 }
 
+bool InstanceDirectory::MayOrder(const InstanceId& id, const PoolName& pool,
+                                 InstanceOrderKind kind) const {
+  const TimePoint now = m_context.timers.Now();
+  const Instance* listed = Find(id);
+  if (!listed || listed->pool != pool || now - m_read_at > kMaxListAgeForOrders) return false;
+  const bool up = listed->state == InstanceState::kUp;
+  const auto found = m_orders.find(id);
+  if (found == m_orders.end()) return up;
+  const LastOrder& last = found->second;
+  if (last.pending || now < last.blocked_until) return false;
+  if (last.accepted && m_read_at <= last.ended_at) return false;
+  if (now >= last.late_until) return up;
+  // A repeated move would have copies that are carried out after the instance has been moved on.
+  const bool repeats = !last.accepted && kind == last.kind;
+  return repeats && kind == InstanceOrderKind::kMaintenance;
+}
+
+int64_t InstanceDirectory::BeginOrder(const InstanceId& id, InstanceOrderKind kind,
+                                      int64_t newest_version) {
+  LastOrder& order = m_orders[id];
+  const bool repeats = m_context.timers.Now() < order.late_until;
+  order.kind = kind;
+  if (!repeats) order.token = newest_version;
+  order.pending = true;
+  order.accepted = false;
+  return order.token;
+}
+
+void InstanceDirectory::EndOrder(const InstanceId& id, InstanceOrderOutcome outcome) {
+  const TimePoint now = m_context.timers.Now();
+  LastOrder& order = m_orders[id];
+  order.pending = false;
+  order.accepted = outcome == InstanceOrderOutcome::kAccepted;
+  order.ended_at = now;
+  if (outcome == InstanceOrderOutcome::kUnknown) order.late_until = now + kLateOrderWindow;
+  if (outcome == InstanceOrderOutcome::kFenced) {
+    order.blocked_until = now + m_context.options.holder_change_interval;
+  }
+}
+
 Duration InstanceDirectory::TimeInPool(const InstanceId& id, const PoolName& pool) const {
   const auto found = m_memberships.find(id);
   if (found == m_memberships.end() || found->second.pool != pool) return Duration::zero();
--- a/src/fleet/pool/internal/instance_directory.h
+++ b/src/fleet/pool/internal/instance_directory.h
@@ -8,8 +8,13 @@
 
 namespace citronferry::fleet {
 
-/// Cache of the platform's list of instances. Reading the list is charged, so the maintenance
-/// coordinator and the instance mover of a pool share it.
+/// Orders that take an instance out of service.
+enum class InstanceOrderKind { kMove, kMaintenance };
+
+/// Cache of the platform's list of instances, and the orders that the owner of a pool has given to
+/// them. Reading the list is charged, so the maintenance coordinator and the instance mover of a
+/// pool share it. Both ask it for the right to give an order; see docs/platform.md, "Orders to
+/// instances".
 class InstanceDirectory {
  public:
   explicit InstanceDirectory(FleetContext& context) : m_context(context) {}
@@ -23,6 +28,20 @@
   ///   ordered by the owner of another pool at least this long ago.
   Duration TimeInPool(const InstanceId& id, const PoolName& pool) const;
 
+  /// @return whether this owner may give an instance of its pool an order now. It may not while an
+  ///   earlier order is without effect or may still be carried out, except to repeat that order,
+  ///   and not on the basis of an outdated list.
+  /// @param pool pool of the owner.
+  bool MayOrder(const InstanceId& id, const PoolName& pool, InstanceOrderKind kind) const;
+  /// Records an order that is about to be sent.
+  /// @param newest_version version of the last commit of the owner.
+  /// @return the fencing token of the order: that of the unanswered order that it repeats,
+  /// otherwise
+  ///   newest_version.
+  int64_t BeginOrder(const InstanceId& id, InstanceOrderKind kind, int64_t newest_version);
+  /// Records the outcome of an order.
+  void EndOrder(const InstanceId& id, InstanceOrderOutcome outcome);
+
   /// @return whether the list has been read.
   bool loaded() const { return m_loaded; }
   TimePoint read_at() const { return m_read_at; }
@@ -37,8 +56,20 @@
     TimePoint since{};  // When the instance was first listed in the pool.
   };
 
+  /// Last order of this owner to an instance.
+  struct LastOrder {
+    InstanceOrderKind kind = InstanceOrderKind::kMove;
+    int64_t token = 0;
+    bool pending = false;   // Sent; the outcome is not known yet.
+    bool accepted = false;  // A list that was requested later shows the effect.
+    TimePoint ended_at{};
+    TimePoint late_until{};     // An unanswered copy may be carried out until then.
+    TimePoint blocked_until{};  // After a refusal that shows another holder.
+  };
+
   std::vector<Instance> m_instances;
   std::map<InstanceId, PoolMembership> m_memberships;
+  std::map<InstanceId, LastOrder> m_orders;
   TimePoint m_read_at{};       // When the request for the current list was sent.
   TimePoint m_requested_at{};  // When the last request was sent.
   bool m_loaded = false;
--- a/src/fleet/pool/internal/instance_mover.cc
+++ b/src/fleet/pool/internal/instance_mover.cc
@@ -72,6 +72,7 @@
     if (instance.pool != m_owner.pool() || instance.state != InstanceState::kUp) continue;
     if (m_departures.contains(instance.id) || m_is_reserved(instance.id)) continue;
     if (!m_owner.HasSettled(instance)) continue;
+    if (!m_directory.MayOrder(instance.id, m_owner.pool(), InstanceOrderKind::kMove)) continue;
     if (standby || IsIdle(instance.executor)) movable.push_back(&instance);
   }
   return movable;
@@ -132,13 +133,17 @@
 QCoro::Task<void> InstanceMover::MoveInstance(InstanceId instance, scheduling::ExecutorId executor,
                                               PoolName to) {
   if (!m_owner.may_order()) co_return;
+  if (!m_directory.MayOrder(instance, m_owner.pool(), InstanceOrderKind::kMove)) co_return;
   // Keeps the scheduler from placing new tasks on the executor during the call.
   m_owner.scheduler().SetCordoned(executor, true);
   m_departures[instance] = {.to = to, .ordered_at = m_context.timers.Now()};
   const OrderIssuer issuer{.holder = m_context.options.name,
-                           .fencing_token = m_owner.newest_version()};
+                           .fencing_token = m_directory.BeginOrder(
+                               instance, InstanceOrderKind::kMove, m_owner.newest_version())};
   const InstanceOrderOutcome outcome =
       co_await m_context.platform.instances.Move(instance, to, issuer);
+  m_directory.EndOrder(instance, outcome);
+  m_directory.Invalidate();
   Log(LogLevel::kInfo, "instance_moved",
       {{"pool", m_owner.pool().view()},
        {"to", to.view()},
@@ -146,7 +151,6 @@
        {"executor", executor.view()},
        {"token", issuer.fencing_token},
        {"outcome", static_cast<int>(outcome)}});
-  m_directory.Invalidate();
   if (outcome == InstanceOrderOutcome::kAccepted) {
     m_owner.scheduler().OnExecutorGone(executor, m_context.timers.Now());
     co_return;
@@ -157,7 +161,8 @@
     co_await SleepFor(m_context.timers, kLateOrderWindow, &m_owner.ended());
   }
   m_departures.erase(instance);
-  m_owner.scheduler().SetCordoned(executor, false);
+  // Its maintenance may have begun as soon as the order could no longer take effect.
+  if (!m_is_reserved(instance)) m_owner.scheduler().SetCordoned(executor, false);
 }
 
 QCoro::Task<void> InstanceMover::ExecuteMoves() {
--- a/src/fleet/pool/internal/maintenance_coordinator.cc
+++ b/src/fleet/pool/internal/maintenance_coordinator.cc
@@ -121,6 +121,7 @@
     ++state.due_instances;
     if (m_operations.contains(id) || instance->state != InstanceState::kUp) continue;
     if (!m_owner.HasSettled(*instance)) continue;
+    if (!m_directory.MayOrder(id, m_owner.pool(), InstanceOrderKind::kMaintenance)) continue;
     // An instance that is off has no executor, so there is nothing to drain.
     if (instance->executor.empty()) {
       if (static_cast<int>(m_operations.size()) >= open.wave.max_at_once) continue;
@@ -190,9 +191,31 @@
   if (!executor.empty()) m_owner.Readmit(executor);
 }
 
+QCoro::Task<void> MaintenanceCoordinator::GiveUp(InstanceId instance, bool done) {
+  const Operation operation = m_operations.at(instance);
+  if (operation.slot_acquired) {
+    const Ret released = co_await m_slots.Release(operation.wave, instance, done);
+    if (!released.ok()) co_return;
+  }
+  Log(LogLevel::kInfo, "maintenance_given_up",
+      {{"pool", m_owner.pool().view()},
+       {"wave", operation.wave},
+       {"instance", instance.view()},
+       {"executor", operation.executor.view()}});
+  m_owner.scheduler().SetCordoned(operation.executor, false);
+  m_operations.erase(instance);
+}
+
 QCoro::Task<void> MaintenanceCoordinator::Advance(InstanceId instance) {
   if (m_context.timers.Now() < m_first_order_at) co_return;
   Operation& operation = m_operations.at(instance);
+  const Instance* listed = m_directory.Find(instance);
+  const bool elsewhere = listed && listed->pool != m_owner.pool();
+  const bool switched_on = listed && operation.executor.empty() && !listed->executor.empty();
+  if (!listed || elsewhere || switched_on) {
+    co_await GiveUp(instance, !listed);
+    co_return;
+  }
   if (operation.executor.empty()) {
     co_await OrderMaintenance(instance);
     co_return;
@@ -218,17 +241,21 @@
 QCoro::Task<void> MaintenanceCoordinator::OrderMaintenance(InstanceId instance) {
   Operation& operation = m_operations.at(instance);
   const int64_t wave = operation.wave;
+  const InstanceOrderKind kind = InstanceOrderKind::kMaintenance;
+  if (!m_directory.MayOrder(instance, m_owner.pool(), kind)) co_return;
   if (!operation.slot_acquired) {
     const int max_at_once = m_waves.at(wave).wave.max_at_once;
     const Ret acquired = co_await m_slots.Acquire(wave, max_at_once, instance);
     if (!acquired.ok() || m_owner.ended().requested()) co_return;
     operation.slot_acquired = true;
   }
-  if (!m_owner.may_order()) co_return;
-  const OrderIssuer issuer{.holder = m_context.options.name,
-                           .fencing_token = m_owner.newest_version()};
+  if (!m_owner.may_order() || !m_directory.MayOrder(instance, m_owner.pool(), kind)) co_return;
+  const OrderIssuer issuer{
+      .holder = m_context.options.name,
+      .fencing_token = m_directory.BeginOrder(instance, kind, m_owner.newest_version())};
   const InstanceOrderOutcome outcome =
       co_await m_context.platform.instances.StartMaintenance(instance, wave, issuer);
+  m_directory.EndOrder(instance, outcome);
   Log(LogLevel::kInfo, "maintenance_ordered",
       {{"pool", m_owner.pool().view()},
        {"wave", wave},
@@ -247,7 +274,8 @@
     case InstanceOrderOutcome::kUnknown:
     case InstanceOrderOutcome::kFenced:
     case InstanceOrderOutcome::kBusy:
-      co_return;  // Retried later; an order that took effect is accepted again.
+      // Retried when MayOrder allows it; an order that took effect is accepted again.
+      co_return;
     case InstanceOrderOutcome::kRefused:
       static_cast<void>(co_await m_slots.Release(wave, instance, true));
       m_owner.scheduler().SetCordoned(operation.executor, false);
--- a/src/fleet/pool/internal/maintenance_coordinator.h
+++ b/src/fleet/pool/internal/maintenance_coordinator.h
@@ -62,6 +62,9 @@
   void StartDrains(OpenWave& open);
   /// Takes the next step of an operation that has not been ordered yet, if it is possible.
   QCoro::Task<void> Advance(InstanceId instance);
+  /// Ends an operation of an instance that this owner may no longer order.
+  /// @param done whether the instance needs no more maintenance in this wave.
+  QCoro::Task<void> GiveUp(InstanceId instance, bool done);
   /// Ends an operation once its instance is back in service.
   QCoro::Task<void> FinishReturned(InstanceId instance);
   /// @return whether the instance of an operation that was ordered is back in service.
--- a/src/fleet/tests/instance_orders_test.cc
+++ b/src/fleet/tests/instance_orders_test.cc
@@ -1,6 +1,9 @@
 #include <deque>
+#include <random>
+#include <set>
 
 #include "fleet/pool/internal/instance_directory.h"
+#include "fleet/pool/internal/maintenance_slots.h"
 #include "fleet/pool/internal/pool_owner.h"
 #include "fleet/tables.h"
 #include "fleet/tests/fleet_fixture.h"
@@ -120,6 +123,76 @@
   TaskScope m_scope;
 };
 
+// Guards against orders to an instance that has been ordered to another pool, whose owner may order
+// it already. The list that was read before the move still shows the instance in this pool (rule
+// ONE, quetzal-citron-grown trouble-3 --seed 596005369872).
+TEST_F(InstanceOrdersTest, InstanceOnItsWayToAnotherPoolIsNotMaintained) {
+  m_recorder.on_move = [this] {
+    m_recorder.list_unavailable = true;
+    AnnounceWave();
+  };
+  RequestMoves();
+  Start();
+  ASSERT_TRUE(WaitForOrders(1));
+  ASSERT_TRUE(m_recorder.orders.front().move);
+  Await(Wait(1500ms));
+  EXPECT_EQ(m_recorder.orders.size(), 1u);
+}
+
+// Guards against an order for maintenance that waits for a slot while its instance gets into
+// another pool.
+TEST_F(InstanceOrdersTest, MaintenanceIsGivenUpWhenTheInstanceIsInAnotherPool) {
+  MaintenanceSlots slots(m_owner_context);
+  ASSERT_TRUE(Await(slots.Acquire(1, 1, InstanceId("m-2"))).ok());
+  AnnounceWave();
+  Start();
+  Await(Wait(1500ms));
+  ASSERT_TRUE(m_recorder.orders.empty());
+  m_recorder.listed.front().pool = m_other;
+  Await(Wait(1500ms));
+  ASSERT_TRUE(Await(slots.Release(1, InstanceId("m-2"), false)).ok());
+  Await(Wait(700ms));
+  EXPECT_TRUE(m_recorder.orders.empty());
+}
+
+// Guards against a late copy of an unanswered order that arrives after a repetition with a higher
+// token. An order without a response may be carried out seconds later.
+TEST_F(InstanceOrdersTest, UnansweredOrderIsRepeatedWithItsToken) {
+  m_recorder.outcomes.assign(100, Outcome::kUnknown);
+  AnnounceWave();
+  Start();
+  ASSERT_TRUE(WaitForOrders(1));
+  Await(Wait(1500ms));  // The owner commits every 600 ms.
+  EXPECT_GT(m_recorder.orders.size(), 1u);
+  for (const ReceivedOrder& order : m_recorder.orders) {
+    EXPECT_EQ(order.token, m_recorder.orders.front().token);
+  }
+}
+
+// Guards against a move with a higher token while a copy of an unanswered order for maintenance may
+// still be carried out.
+TEST_F(InstanceOrdersTest, InstanceIsNotMovedWhileAnUnansweredOrderMayTakeEffect) {
+  m_recorder.outcomes = {Outcome::kUnknown, Outcome::kAccepted};
+  AnnounceWave();
+  Start();
+  ASSERT_TRUE(WaitForOrders(2));
+  RequestMoves();
+  Await(Wait(2s));
+  EXPECT_EQ(m_recorder.orders.size(), 2u);
+}
+
+// Guards against a move that is planned with an outdated list: while the list cannot be read, the
+// instance may have left the pool by an order of the previous owner.
+TEST_F(InstanceOrdersTest, OutdatedListGivesNoRightToOrder) {
+  Start();
+  Await(Wait(700ms));
+  m_recorder.list_unavailable = true;
+  Await(Wait(4s));
+  RequestMoves();
+  Await(Wait(700ms));
+  EXPECT_TRUE(m_recorder.orders.empty());
+}
+
 // Guards against an older list that replaces a newer one: responses on different connections may
 // overtake each other.
 TEST_F(InstanceOrdersTest, OlderListDoesNotReplaceANewerOne) {
@@ -154,5 +227,193 @@
   EXPECT_LT(directory.TimeInPool(m_instance, m_pool), 300ms);
 }
 
+/// Instances that owners of two pools move back and forth. Some orders and responses are delayed or
+/// lost.
+class UnreliableInstances : public Instances {
+ public:
+  UnreliableInstances(TimerService& timers, Duration interval, bool fenced)
+      : m_timers(timers), m_interval(interval), m_fenced(fenced) {}
+
+  QCoro::Task<RetVal<std::vector<Instance>>> List() override {
+    RetVal<std::vector<Instance>> answer(listed);
+    co_await SleepFor(m_timers, Milliseconds(Draw(10) == 0 ? 800 : Draw(100)));
+    co_return answer;
+  }
+  QCoro::Task<Outcome> Move(InstanceId instance, PoolName pool, OrderIssuer issuer) override {
+    return Receive(std::move(instance), std::move(pool), std::move(issuer));
+  }
+  QCoro::Task<Outcome> StartMaintenance(InstanceId instance, int64_t, OrderIssuer issuer) override {
+    return Receive(std::move(instance), PoolName(), std::move(issuer));
+  }
+
+  std::vector<Instance> listed;
+  std::vector<std::string> violations;
+  int orders = 0;
+  TaskScope scope;
+
+ private:
+  struct LastOrder {
+    std::string holder;
+    int64_t token = 0;
+    TimePoint carried_out_at{};
+  };
+
+  static Duration Milliseconds(int64_t count) { return std::chrono::milliseconds(count); }
+  int64_t Draw(int64_t bound) {
+    return std::uniform_int_distribution<int64_t>(0, bound - 1)(m_random);
+  }
+
+  QCoro::Task<Outcome> Receive(InstanceId instance, PoolName pool, OrderIssuer issuer) {
+    const int64_t kind = Draw(20);
+    if (kind == 0) co_return Outcome::kThrottled;
+    if (kind <= 2) {
+      const Duration delay = Milliseconds(Draw(3000));
+      scope.Spawn([this, instance, pool, issuer, delay]() -> QCoro::Task<void> {
+        co_await SleepFor(m_timers, delay);
+        static_cast<void>(CarryOut(instance, pool, issuer));
+      });
+      co_await SleepFor(m_timers, 100ms);
+      co_return Outcome::kUnknown;
+    }
+    const Outcome outcome = CarryOut(instance, pool, issuer);
+    co_await SleepFor(m_timers, Milliseconds(Draw(kind <= 5 ? 900 : 20)));
+    if (kind == 6) co_return Outcome::kUnknown;
+    co_return outcome;
+  }
+
+  Outcome CarryOut(const InstanceId& id, const PoolName& pool, const OrderIssuer& issuer) {
+    ++orders;
+    const TimePoint now = m_timers.Now();
+    LastOrder& last = m_last[id];
+    const auto violated = [&](std::string what) {
+      violations.push_back(what + ": " + id.str() + " by " + issuer.holder + " with " +
+                           std::to_string(issuer.fencing_token) + " after " + last.holder +
+                           " with " + std::to_string(last.token));
+    };
+    if (!last.holder.empty() && last.holder != issuer.holder) {
+      if (last.token == issuer.fencing_token) violated("one token of two holders");
+      if (now - last.carried_out_at < m_interval) violated("holders too close");
+    }
+    if (issuer.fencing_token < last.token) {
+      violated("lower token");
+      if (m_fenced) return Outcome::kFenced;
+    }
+    last = {issuer.holder, issuer.fencing_token, now};
+    for (Instance& instance : listed) {
+      if (instance.id != id) continue;
+      if (!pool.empty() && instance.pool == pool) return Outcome::kAccepted;
+      if (instance.state != InstanceState::kUp) return Outcome::kBusy;
+      if (!pool.empty()) instance.pool = pool;
+      instance.state = pool.empty() ? InstanceState::kInMaintenance : InstanceState::kMoving;
+      scope.Spawn([this, id]() -> QCoro::Task<void> {
+        co_await SleepFor(m_timers, 300ms);
+        for (Instance& changed : listed) {
+          if (changed.id == id) changed.state = InstanceState::kUp;
+        }
+      });
+    }
+    return Outcome::kAccepted;
+  }
+
+  TimerService& m_timers;
+  const Duration m_interval;
+  const bool m_fenced;
+  std::mt19937_64 m_random{36};
+  std::map<InstanceId, LastOrder> m_last;
+};
+
+struct TwoOwnersCase {
+  const char* name;
+  bool one_entry = false;  ///< One entry owns both pools.
+  bool fenced = false;     ///< The platform refuses lower tokens.
+};
+
+class TwoOwnersTest : public FleetTest, public ::testing::WithParamInterface<TwoOwnersCase> {
+ protected:
+  /// The owner of a pool that gives all its instances away to the other pool.
+  struct Entry {
+    Entry(TwoOwnersTest& test, std::string name, PoolName pool, const PoolName& other)
+        : options{.name = name,
+                  .incarnation = "life of " + name,
+                  .holder_change_interval = kInterval},
+          context{.options = options,
+                  .timers = *test.m_timers,
+                  .metrics = test.m_metrics,
+                  .platform = test.m_services} {
+      context.configuration.Set({.version = 1, .pools = {{.name = pool, .standby = true}}});
+      context.demands.Set(
+          {{other,
+            {.pool = other, .instances = 1, .cores_per_instance = 16, .wanted_cores = 1600}}});
+      const OwnerRecord record{.holder = name, .incarnation = options.incarnation};
+      const int64_t epoch =
+          test.m_rows.Apply({.puts = {{.key = OwnerKey(pool), .value = EncodeOwner(record)}}})
+              .version;
+      owner = std::make_unique<PoolOwner>(
+          context, pool, Ownership{.epoch = epoch, .acquired_at = test.m_timers->Now()});
+      scope.Spawn([this]() -> QCoro::Task<void> { static_cast<void>(co_await owner->Run(stop)); });
+    }
+
+    FleetOptions options;
+    FleetContext context;
+    std::unique_ptr<PoolOwner> owner;
+    StopSignal stop;
+    TaskScope scope;
+  };
+
+  static constexpr Duration kInterval = 2500ms;
+  static constexpr int kInstances = 24;
+
+  UnreliableInstances m_unreliable{*m_timers, kInterval, GetParam().fenced};
+  PlatformServices m_services{.rows = m_rows,
+                              .announcements = m_announcements,
+                              .executors = m_executors,
+                              .adviser = m_adviser,
+                              .instances = m_unreliable,
+                              .clients = m_clients};
+};
+
+// Guards against two owners of different pools that order one instance with tokens that do not
+// rise, or within holder_change_interval, when orders, their responses and lists are late or lost.
+TEST_P(TwoOwnersTest, TokensOfAnInstanceRise) {
+  const PoolName a("a");
+  const PoolName b("b");
+  m_rows.timers = m_timers.get();
+  MaintenanceWave wave{.number = 1, .instances = {}, .time_left_at_start = 5s, .max_at_once = 4};
+  for (int i = 0; i < kInstances; ++i) {
+    const InstanceId id("m-" + std::to_string(i));
+    m_unreliable.listed.push_back(
+        {.id = id, .pool = i % 2 == 0 ? a : b, .state = InstanceState::kUp});
+    wave.instances.push_back(id);
+  }
+  Entry first(*this, "entry-1", a, b);
+  Entry second(*this, GetParam().one_entry ? "entry-1" : "entry-2", b, a);
+  int64_t waves = 0;
+  const auto announce_wave = [&] {
+    wave.number = ++waves;
+    for (Entry* entry : {&first, &second}) {
+      auto announced = entry->context.waves.Get();
+      announced.emplace(wave.number, wave);
+      entry->context.waves.Set(std::move(announced));
+    }
+  };
+  const Subscription announcements = m_timers->Subscribe(1s, announce_wave);
+  Await(Wait(8s));
+  Await(Wait(8s));
+  for (Entry* entry : {&first, &second}) entry->stop.Request();
+  EXPECT_TRUE(ProcessEventsUntil([&] {
+    return first.scope.running() == 0 && second.scope.running() == 0 &&
+           m_unreliable.scope.running() == 0;
+  }));
+  EXPECT_GT(m_unreliable.orders, kInstances) << "too few orders to tell";
+  for (const std::string& violation : m_unreliable.violations) ADD_FAILURE() << violation;
+}
+
+INSTANTIATE_TEST_SUITE_P(Entries, TwoOwnersTest,
+                         ::testing::Values(TwoOwnersCase{.name = "OneEntry", .one_entry = true},
+                                           TwoOwnersCase{.name = "TwoEntries"},
+                                           TwoOwnersCase{.name = "TwoEntriesFenced",
+                                                         .fenced = true}),
+                         [](const auto& param_info) { return param_info.param.name; });
+
 }  // namespace
 }  // namespace citronferry::fleet
