Show a relay how long a message takes before the first call

Callers saw: no report names this; found by reading while looking for holds that arrive late.

Cause: TransitClock takes the first batch of a connection for one that took no time. If the relay was paused while that batch was on its way, its orders and holds were carried out however late they were.

Change: the owner sends a batch without calls before each greeting, so the delay of the first calls is measured against it. The greeting is repeated until the relay answers, so one that was delayed itself is followed by a faster one.

Evidence: RelayTest.FirstCallThatArrivesLateIsNotSent failed before (the hold reached the executor 1.2 s late) and passes, 8 times of 8.

--- a/src/fleet/relay/internal/relay_session.cc
+++ b/src/fleet/relay/internal/relay_session.cc
@@ -32,7 +32,11 @@
   const TimePoint now = m_timers.Now();
   std::erase_if(m_payloads,
                 [now](const auto& entry) { return now - entry.second >= kPayloadLifetime; });
-  if (!m_open) m_connection->Send(peering::Hello{});
+  if (m_open) return;
+  // From a batch without calls the relay learns how long a message takes, so that it can tell that
+  // the first calls are late.
+  if (!m_connection->Send(peering::RelayCalls{.batch = EncodeCalls({}, now)})) return;
+  m_connection->Send(peering::Hello{});
 }
 
 QCoro::Task<std::optional<RelayedResult>> RelaySession::Call(RelayedCall call, Duration longest,
--- a/src/fleet/relay/internal/relay_session.h
+++ b/src/fleet/relay/internal/relay_session.h
@@ -44,7 +44,8 @@
  private:
   using Pending = std::shared_ptr<OneShot<std::optional<RelayedResult>>>;
 
-  /// Greets the relay until it answers, and drops payloads that it may have dropped.
+  /// Greets the relay until it answers, and shows it how long a message takes. Drops payloads that it
+  /// may have dropped.
   void Maintain();
   void Flush();
   void Fail(std::string_view reason);
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -263,6 +263,16 @@
   EXPECT_TRUE(m_client.IsOpen(m_relay)) << "the relay has given a result";
 }
 
+// Guards against a late call that passes for a timely one because it is the first on its
+// connection: the relay must know how long a message takes before the owner makes a call.
+TEST_F(RelayTest, FirstCallThatArrivesLateIsNotSent) {
+  Connect();
+  const HoldCall call{
+      .lease_until_ms = 5000, .fencing_token = 9, .acknowledged_end = 57, .timeout = 1600ms};
+  EXPECT_EQ(HoldBeforeAPause(call, 1200ms).outcome, HoldOutcome::kRelayFailed);
+  EXPECT_EQ(m_behind.holds, 0);
+}
+
 // Guards against more connections to an executor than the owner would open itself.
 TEST_F(RelayTest, OrdersToOneExecutorShareTwoConnections) {
   Connect();
