--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -1,4 +1,5 @@
 #include <random>
+#include <thread>
 
 #include "fleet/relay/internal/transit_clock.h"
 #include "fleet/relay/relay_client.h"
@@ -105,6 +106,20 @@
     return Await(m_client.Start(m_to, call));
   }
 
+  /// Makes a hold through the relay whose message arrives only after a pause of the relay.
+  /// @param pause blocks the event loop, which the relay shares, after the message was sent.
+  HoldResult HoldBeforeAPause(const HoldCall& call, Duration pause) {
+    std::optional<HoldResult> result;
+    TaskScope scope;
+    const double sent_before = SentBytes();
+    scope.Spawn([&]() -> QCoro::Task<void> { result = co_await m_client.Hold(m_to, call); });
+    EXPECT_TRUE(ProcessEventsUntil([&] { return SentBytes() > sent_before; }));
+    EXPECT_EQ(m_behind.holds, 0);
+    std::this_thread::sleep_for(pause);
+    EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+    return std::move(*result);
+  }
+
   double SentBytes() {
     return m_client_metrics
         .Counter("citronferry_peer_sent_bytes_total",
@@ -199,14 +214,15 @@
   EXPECT_EQ(m_behind.payloads.back(), std::string(2400, 'p'));
 }
 
-// Guards against an executor that counts as silent because its relay is gone: the hold has to be
-// made directly, well before the lease of the executor ends.
+// Guards against an executor that counts as silent because its relay is gone: the caller has to
+// learn of it and reach the executor directly, well before the lease of the executor ends.
 TEST_F(RelayTest, HoldIsMadeDirectlyWhenTheRelayIsLost) {
   Connect();
   StopServer();
   m_direct.report.clock_ms = 1;
   const HoldCall call{.lease_until_ms = 5000, .fencing_token = 9, .wait = 100ms, .timeout = 100ms};
   const TimePoint asked_at = m_timers->Now();
+  EXPECT_EQ(Await(m_client.Hold(m_to, call)).outcome, HoldOutcome::kRelayFailed);
   EXPECT_EQ(Await(m_client.Hold(m_to, call)).outcome, HoldOutcome::kReported);
   EXPECT_EQ(m_direct.holds, 1);
   EXPECT_LT(m_timers->Now() - asked_at, 3s);
@@ -214,6 +230,49 @@
   StartServer();
 }
 
+// Guards against the end of a run that is forgotten before an owner has seen it (TWICE): the
+// executor may have restarted while its relay gave no result, and numbers its ends anew. The number
+// of an end and the end of a lease that the owner chose before must not reach it by a second way.
+TEST_F(RelayTest, HoldWithoutAResultIsNotRepeatedWithItsTerms) {
+  Connect();
+  StopServer();
+  const HoldCall call{.lease_until_ms = 5000,
+                      .fencing_token = 9,
+                      .acknowledged_end = 57,
+                      .wait = 100ms,
+                      .timeout = 100ms};
+  EXPECT_NE(Await(m_client.Hold(m_to, call)).outcome, HoldOutcome::kReported);
+  EXPECT_EQ(m_direct.last_hold.acknowledged_end, 0);
+  EXPECT_FALSE(m_direct.last_hold.lease_until_ms);
+  StartServer();
+}
+
+// Guards against ends that are lost (TWICE): a relay that was paused must not carry out a hold that
+// the owner decided on long before, since the executor may have restarted meanwhile.
+TEST_F(RelayTest, HoldThatArrivesLateIsNotSent) {
+  Connect();
+  EXPECT_EQ(Start(Order(0)), StartAnswer::kStarted);  // Shows how long a message takes.
+  const HoldCall call{.lease_until_ms = 5000,
+                      .fencing_token = 9,
+                      .acknowledged_end = 57,
+                      .wait = 1s,
+                      .timeout = 600ms};
+  const HoldResult result = HoldBeforeAPause(call, 1200ms);
+  EXPECT_EQ(result.outcome, HoldOutcome::kRelayFailed);
+  EXPECT_EQ(m_behind.holds, 0);
+  EXPECT_TRUE(m_client.IsOpen(m_relay)) << "the relay has given a result";
+}
+
+// Guards against a late call that passes for a timely one because it is the first on its
+// connection: the relay must know how long a message takes before the owner makes a call.
+TEST_F(RelayTest, FirstCallThatArrivesLateIsNotSent) {
+  Connect();
+  const HoldCall call{
+      .lease_until_ms = 5000, .fencing_token = 9, .acknowledged_end = 57, .timeout = 1600ms};
+  EXPECT_EQ(HoldBeforeAPause(call, 1200ms).outcome, HoldOutcome::kRelayFailed);
+  EXPECT_EQ(m_behind.holds, 0);
+}
+
 // Guards against more connections to an executor than the owner would open itself.
 TEST_F(RelayTest, OrdersToOneExecutorShareTwoConnections) {
   Connect();
