--- a/src/decisions/scheduling/executor_session.h
+++ b/src/decisions/scheduling/executor_session.h
@@ -17,7 +17,7 @@
   std::optional<int64_t> lease_until_ms;  ///< On the executor's clock; nothing: not extended.
   int64_t unanswered_calls = 0;           ///< Before the hold; for ExecutorSession::OnReport.
 
-  /// @return whether the executor is known to be the incarnation that the owner has in mind.
+  /// @return whether the executor is the incarnation that the owner knows.
   bool established() const { return lease_until_ms.has_value(); }
 };
 
@@ -31,17 +31,27 @@
 /// only, and the next incarnation has another clock, numbers its ends anew and knows no fencing
 /// token. Each incarnation is therefore given a token of its own. Once it has answered a call with
 /// that token, it rejects calls that were meant for its predecessor, however late they arrive.
-/// Before that, the owner acknowledges no end, extends no lease and orders no start.
+/// Before that, the owner acknowledges no end, extends no lease and orders no start, but calls to
+/// the predecessor may still take effect.
 class ExecutorSession {
  public:
-  /// @param epoch the owner's epoch, the token for the first incarnation that it meets.
+  /// @param newest_version of the owner's commits, its epoch before the first one; the token for
+  /// the
+  ///   first incarnation that the session meets.
   /// @param lease duration of a lease.
-  ExecutorSession(int64_t epoch, Duration lease) : m_token(epoch), m_lease(lease) {}
+  ExecutorSession(int64_t newest_version, Duration lease)
+      : m_token(newest_version), m_lease(lease) {}
 
+  /// Makes the terms of a hold that is sent now, with a new token if the owner has learned of a new
+  /// incarnation.
+  /// @param executor as the owner knows it.
   /// @param newest_version of the owner's commits; the token for a new incarnation.
-  /// @return the terms of a hold that is sent now.
+  /// @param now time at which the hold is sent.
+  /// @return the terms; they depend on the incarnation only if it is established.
   HoldTerms MakeHold(const ExecutorState& executor, int64_t newest_version, TimePoint now);
-  /// @return the terms of a start that is sent now; nothing if it must not be sent.
+  /// @param executor as the owner knows it.
+  /// @param now time at which the start is sent.
+  /// @return the terms of the start; nothing if it must not be sent.
   std::optional<StartTerms> MakeStart(const ExecutorState& executor, TimePoint now) const;
   /// @return whether an incarnation waits for a token until the owner has committed again.
   bool AwaitsCommit(const ExecutorState& executor, int64_t newest_version) const;
@@ -51,6 +61,7 @@
   /// Records that a call had no response: the executor may have restarted since its last report.
   void OnUnanswered() { ++m_unanswered_calls; }
   /// @param terms of the hold that returned the report.
+  /// @param now time at which the report arrived.
   void OnReport(const HoldTerms& terms, const ExecutorReport& report, TimePoint now);
 
  private:
--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -51,7 +51,8 @@
   bool listed = false;        ///< It is in the registry.
   bool link_durable = false;  ///< A successor finds its link; required before the first order.
   bool reported = false;      ///< Its known incarnation has sent a report to this owner.
-  bool restarted = false;     ///< This owner has met a previous incarnation.
+  /// A call to a previous incarnation may extend the lease of this one, on the wrong clock.
+  bool lease_uncertain = false;
   /// When this owner learned of the known incarnation, if it is not the first one.
   TimePoint incarnation_known_at{};
   bool responding = false;  ///< It answered the last call.
@@ -60,9 +61,10 @@
   bool cordoned = false;    ///< No new tasks: it is drained for maintenance or a move.
   std::optional<TimePoint> unlisted_since;
   std::optional<TimePoint> listed_at;
-  int64_t applied_end = 0;  ///< Number of the last run end that was processed.
-  int64_t durable_end = 0;  ///< Number of the last run end whose effect is durable.
-  Resources used;           ///< Charged to its runs.
+  std::vector<int64_t> past_incarnations;  ///< Start times of those that have ended.
+  int64_t applied_end = 0;                 ///< Number of the last run end that was processed.
+  int64_t durable_end = 0;                 ///< Number of the last run end whose effect is durable.
+  Resources used;                          ///< Charged to its runs.
   std::vector<RunRef> runs;
   TimePoint lease_bound{};  ///< No run is left after this time, unless the lease is extended.
   TimePoint no_capacity_until{};
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -135,7 +135,9 @@
                                                             : info.incarnation_unix_ms;
   // The registry lags behind the executor's own reports. A start time may also be earlier than that
   // of the previous incarnation, if the time of day was set back; then a report shows the restart.
-  if (incarnation < known_incarnation) return;
+  const std::vector<int64_t>& past = executor.past_incarnations;
+  const bool outdated = std::find(past.begin(), past.end(), incarnation) != past.end();
+  if (incarnation < known_incarnation || outdated) return;
   if (incarnation > known_incarnation && known_incarnation != 0) {
     OnRestarted(executor, incarnation, now);
   }
@@ -235,6 +237,7 @@
 void PoolScheduler::OnLeaseExtended(const ExecutorId& id, TimePoint now) {
   if (ExecutorState* executor = FindExecutor(id)) {
     executor->lease_bound = std::max(executor->lease_bound, now + m_options.lease_bound);
+    executor->lease_uncertain = false;
   }
 }
 
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -30,11 +30,11 @@
     case RunEnd::kStopped:
       return "stopped";
     case RunEnd::kLeaseExpired:
-      return "lapsed";
+      return "lease expired";
     case RunEnd::kBroken:
-      return "broken";
+      return "gang broken";
     case RunEnd::kGangIncomplete:
-      return "alone";
+      return "gang incomplete";
   }
   return "";
 }
@@ -74,8 +74,7 @@
 
   if (!executor->responding) Note("executor_in_touch", {}, 0, id, DescribeEnds(*executor));
   if (!executor->responding || !executor->reported) m_plan_needed = true;
-  // Until this report, a call to a previous incarnation may have extended the lease of this one.
-  if (!executor->reported && executor->restarted) {
+  if (executor->lease_uncertain) {
     executor->lease_bound = std::max(executor->lease_bound, now + m_options.longest_lease_bound);
   }
   executor->responding = executor->contacted = true;
@@ -92,17 +91,17 @@
        std::to_string(executor.applied_end + 1) + " to " + std::to_string(next->number - 1));
 }
 
-Task* PoolScheduler::FindReportedTask(const ExecutorState& executor, const TaskId& id) {
+Task* PoolScheduler::FindReportedTask(const TaskId& id) {
   Job* job = FindJobMutable(id.job);
   if (!job) return nullptr;
-  if (executor.inherited && job->inherited()) job->OpenOccurrence(id.occurrence);
+  if (job->inherited()) job->OpenOccurrence(id.occurrence);
   return job->FindTask(id);
 }
 
 void PoolScheduler::ApplyEnd(ExecutorState& executor, const EndedRun& ended, TimePoint now) {
   m_unsettled.insert(executor.info.id);
   Job* job = FindJobMutable(ended.task.job);
-  Task* task = FindReportedTask(executor, ended.task);
+  Task* task = FindReportedTask(ended.task);
   if (!task) {
     // The job or its occurrence has ended, so only the capacity is freed.
     RemoveRun(ended.task, ended.run, executor);
@@ -205,7 +204,7 @@
 
 void PoolScheduler::ApplyActive(ExecutorState& executor, const ActiveRun& active, TimePoint now) {
   Job* job = FindJobMutable(active.task.job);
-  Task* task = FindReportedTask(executor, active.task);
+  Task* task = FindReportedTask(active.task);
   if (!task) {
     Note("stray_run", active.task, active.run, executor.info.id, "unknown task");
     m_orders.stops.push_back(
@@ -229,7 +228,10 @@
 void PoolScheduler::Adopt(ExecutorState& executor, Job& job, Task& task, const ActiveRun& active,
                           TimePoint now) {
   const StepSpec& spec = job.spec(active.task.step);
-  const bool wanted = !job.is_final() && !task.done && (task.runs.empty() || spec.copies_allowed);
+  // A member of a gang that a late start began waits for the others in vain.
+  const bool lone_member = spec.gang_scheduled && !executor.inherited;
+  const bool wanted =
+      !job.is_final() && !task.done && !lone_member && (task.runs.empty() || spec.copies_allowed);
   task.runs.push_back({.id = active.run,
                        .executor = executor.info.id,
                        .phase = RunPhase::kRunning,
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -79,12 +79,13 @@
        DescribeEnds(executor) + ", incarnation " +
            std::to_string(executor.info.incarnation_unix_ms) + " to " +
            std::to_string(incarnation_unix_ms));
+  executor.past_incarnations.push_back(executor.info.incarnation_unix_ms);
   executor.info.incarnation_unix_ms = incarnation_unix_ms;
   executor.applied_end = executor.durable_end = 0;
   m_durations->run_times().executors().Forget(id.view());
   executor.link_durable = false;
   executor.reported = false;
-  executor.restarted = true;
+  executor.lease_uncertain = true;
   executor.incarnation_known_at = now;
   executor.lease_bound = std::max(executor.lease_bound, now + m_options.longest_lease_bound);
   m_dirty_links.insert(id);
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -248,7 +248,7 @@
 
   /// @return the task that an executor's report names, or nullptr if it is unknown or its
   ///   occurrence is finished.
-  Task* FindReportedTask(const ExecutorState& executor, const TaskId& id);
+  Task* FindReportedTask(const TaskId& id);
   /// Notes ends that the executor no longer lists although this owner has not seen them. Ends are
   /// numbered without gaps.
   void NoteMissedEnds(const ExecutorState& executor, std::span<const EndedRun> ended);
--- a/src/decisions/scheduling/tests/executor_restart_test.cc
+++ b/src/decisions/scheduling/tests/executor_restart_test.cc
@@ -218,5 +218,83 @@
   EXPECT_FALSE(scheduler.FindExecutor(next.id)->reported);
 }
 
+// Guards against giving up runs that go on (TWICE): the registry lists a past incarnation, whose
+// start time is later, since the time of day was set back.
+TEST_F(ExecutorRestartTest, RegistryDoesNotGoBackToAPastIncarnation) {
+  FakePool pool(2);
+  const TaskId task{.job = JobId("b")};
+  pool.Run(200ms);
+  pool.registry_lags = true;
+  FakeExecutor& executor = pool.executor("x0");
+  ExecutorDescription outdated = executor.info();
+  executor.Restart(-10);
+  pool.Run(200ms);
+  pool.scheduler().SetCordoned(ExecutorId("x1"), true);
+  pool.Submit(MakeJob("b", {MakeStep(1, 1000, 1s)}));
+  pool.Run(200ms);
+  ASSERT_TRUE(executor.Runs(task));
+  pool.scheduler().SetCordoned(ExecutorId("x1"), false);
+  outdated.labels.emplace_back("changed");
+  pool.scheduler().ListExecutor(outdated, pool.now());
+  // The owner plans before the next report.
+  pool.ExecuteOrders(pool.scheduler().Plan(pool.now()));
+  pool.Run(2s);
+  EXPECT_EQ(pool.starts[task], 1);
+  EXPECT_EQ(pool.State(task.job), JobState::kCompleted);
+}
+
+// Guards against a gang that waits for a member which a late start began alone.
+TEST_F(ExecutorRestartTest, LateMemberOfAGangIsStopped) {
+  FakePool pool(2);
+  pool.Run(100ms);
+  StepSpec step = MakeStep(2, 1000, 500ms);
+  step.gang_scheduled = true;
+  pool.Submit(MakeJob("b", {step}));
+  Orders orders = pool.scheduler().Plan(pool.now());
+  ASSERT_EQ(orders.starts.size(), 2u);
+  const StartOrder first = orders.starts[0];
+  for (const StartOrder& start : orders.starts)
+    pool.scheduler().OnStartAnswer(start, StartAnswer::kNotSent, pool.now());
+  FakeExecutor& executor = pool.executor(first.executor.view());
+  pool.scheduler().SetCordoned(ExecutorId("x0"), true);
+  pool.scheduler().SetCordoned(ExecutorId("x1"), true);
+  pool.Run(200ms);
+  ASSERT_EQ(executor.Start(first, 1, pool.now(), pool.now() + 5s), StartAnswer::kStarted);
+  pool.Step();
+  EXPECT_TRUE(pool.Noted("stray_run"));
+  EXPECT_FALSE(pool.Noted("run_adopted")) << "a member of a gang was adopted without the others";
+}
+
+// Guards against starting an occurrence again after its end (TWICE): after a handover, the
+// successor dropped and acknowledged the end of an occurrence that it had not opened.
+TEST_F(ExecutorRestartTest, EndAfterAHandoverOpensItsOccurrence) {
+  FakePool pool(1);
+  pool.Run(100ms);
+  JobDefinition job = MakeJob("b", {MakeStep(1, 1000, 300ms)});
+  job.schedule = {.first_due_unix_ms = ToMilliseconds(pool.now().time_since_epoch()),
+                  .interval_ms = 100000,
+                  .occurrences = 1};
+  pool.Submit(std::move(job));
+  pool.scheduler().Advance(pool.now(), ToMilliseconds(pool.now().time_since_epoch()));
+  const Orders orders = pool.scheduler().Plan(pool.now());
+  ASSERT_EQ(orders.starts.size(), 1u);
+  const StartOrder start = orders.starts.at(0);
+  FakeExecutor& executor = pool.executor("x0");
+  pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
+  pool.scheduler().SetCordoned(ExecutorId("x0"), true);
+  pool.Run(200ms);
+  ASSERT_TRUE(pool.scheduler().FindExecutor(ExecutorId("x0"))->runs.empty());
+  executor.Restart();
+  ASSERT_EQ(executor.Start(start, 1, pool.now(), pool.now() + 5s), StartAnswer::kStarted);
+  executor.reachable = false;
+  pool.Run(400ms);
+  ASSERT_TRUE(pool.HandOver());
+  executor.reachable = true;
+  pool.Run(2s);
+  const auto repeated = pool.ledger().FindRepeatedTask();
+  EXPECT_FALSE(repeated) << *repeated;
+  EXPECT_EQ(pool.starts[TaskId{.job = JobId("b")}], 0);
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -47,7 +47,8 @@
 ExecutorLink::ExecutorLink(PoolOwner& owner, scheduling::ExecutorId id)
     : m_owner(owner),
       m_id(std::move(id)),
-      m_session(owner.epoch(), owner.context().options.executor_lease) {}
+      // A previous link to this executor may have used a newer token than the epoch.
+      m_session(owner.newest_version(), owner.context().options.executor_lease) {}
 
 void ExecutorLink::Start(TaskScope& tasks) {
   m_running_tasks = 1 + static_cast<int>(m_orders.size());
--- a/src/fleet/tests/executor_link_test.cc
+++ b/src/fleet/tests/executor_link_test.cc
@@ -156,5 +156,31 @@
   EXPECT_EQ(m_scripted.starts, 1);
 }
 
+// Guards against an executor that rejects all calls, so that its capacity is lost: a link that is
+// created anew, after the executor was not listed for a while, began with a lower token than the
+// previous link had used.
+TEST_F(ExecutorLinkTest, NewLinkUsesNoLowerTokenThanItsPredecessor) {
+  m_scripted.results = {Reported(kIncarnation), Reported(kIncarnation + 1)};
+  int64_t highest = 0;
+  size_t before = 0;
+  std::optional<TimePoint> unlisted_at;
+  bool listed_again = false;
+  ASSERT_TRUE(RunOwnerUntil([&] {
+    if (!unlisted_at && m_scripted.holds.size() >= 4) {
+      for (const HoldCall& hold : m_scripted.holds) highest = std::max(highest, hold.fencing_token);
+      m_linked.registry.Set({});
+      unlisted_at = m_timers->Now();
+    }
+    if (unlisted_at && !listed_again && m_timers->Now() - *unlisted_at > 6s) {
+      listed_again = true;
+      before = m_scripted.holds.size();
+      List(kIncarnation + 1);
+    }
+    return listed_again && m_scripted.holds.size() > before;
+  }));
+  EXPECT_GT(highest, m_scripted.holds.front().fencing_token);
+  EXPECT_GE(m_scripted.holds.back().fencing_token, highest);
+}
+
 }  // namespace
 }  // namespace citronferry::fleet
