Give each run of the relay tests a port of its own

Cause: RelayTest listened on a fixed port. When two processes ran it at the same time, one of them could not listen, and its owner made its calls through the relay of the other. Tests then failed, or passed for the wrong reason: a call without a result.

Change: each test asks the kernel for a free port. What the tests check is unchanged.

--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -12,8 +12,6 @@
 using scheduling::StartAnswer;
 using scheduling::StopAnswer;
 
-constexpr uint16_t kRelayPort = 17461;
-
 /// Records the calls that reach the executors.
 class RecordingExecutors : public Executors {
  public:
@@ -61,7 +59,7 @@
 class RelayTest : public FleetTest {
  protected:
   RelayTest() {
-    m_options.relay_listener = {.address = "127.0.0.1", .port = kRelayPort};
+    m_options.relay_listener = {.address = "127.0.0.1", .port = m_port};
     StartServer();
   }
 
@@ -81,8 +79,18 @@
     m_server.reset();
   }
 
+  /// @return a port that is free. With a fixed one, tests that ran at the same time called the
+  /// relays of
+  ///   each other.
+  uint16_t FreePort() {
+    peering::Transport transport({.self = m_relay, .address = "127.0.0.1"}, m_metrics,
+                                 [](const peering::ReceivedMessage&) {});
+    EXPECT_TRUE(transport.Listen().ok());
+    return transport.port();
+  }
+
   void UseRelay() {
-    const EntryRecord relay{.entry = m_relay, .address = "127.0.0.1:" + std::to_string(kRelayPort)};
+    const EntryRecord relay{.entry = m_relay, .address = "127.0.0.1:" + std::to_string(m_port)};
     m_client.SetRelays(m_pool, std::span(&relay, 1));
   }
 
@@ -129,6 +137,7 @@
 
   const PoolName m_pool{"pool"};
   const EntryId m_relay{"entry-1"};
+  const uint16_t m_port = FreePort();
   const ExecutorAddress m_to{
       .id = scheduling::ExecutorId("x"), .address = "10.0.0.1:80", .relay = m_relay};
   RecordingExecutors m_behind{*m_timers};
