Count the time in which the owner was paused as lateness of a relayed call

Callers saw: no report names this; found by reading while looking for holds that arrive late.

Cause: a batch carried the time of its message, up to 2 ms after the calls were made. If the owner was suspended in between, its relay took calls for fresh that were decided on before, by an owner that may have been replaced and for an incarnation of the executor that may have been, too.

Change: a batch carries the time at which the first of its calls was made.

Evidence: RelayTest.CallOfAnOwnerThatWasPausedIsNotSent failed before (the hold reached the executor 1.2 s late) and passes.

--- a/src/fleet/relay/internal/relay_session.cc
+++ b/src/fleet/relay/internal/relay_session.cc
@@ -50,7 +50,10 @@
   }
   m_pending.emplace(number, pending);
   m_batch.push_back(std::move(call));
-  if (m_batch.size() == 1) m_flush = m_timers.SubscribeOnce(kFlushDelay, [this] { Flush(); });
+  if (m_batch.size() == 1) {
+    m_batch_began_at = m_timers.Now();
+    m_flush = m_timers.SubscribeOnce(kFlushDelay, [this] { Flush(); });
+  }
   const Subscription timer =
       m_timers.SubscribeOnce(longest + kTransitMargin, [this] { Fail("no result in time"); });
   Subscription aborted;
@@ -68,7 +71,9 @@
 void RelaySession::Flush() {
   const std::vector<RelayedCall> batch = std::exchange(m_batch, {});
   if (m_failed || batch.empty()) return;
-  if (m_connection->Send(peering::RelayCalls{.batch = EncodeCalls(batch, m_timers.Now())})) return;
+  // This process may have been suspended since the calls were made, which makes them late as well.
+  if (m_connection->Send(peering::RelayCalls{.batch = EncodeCalls(batch, m_batch_began_at)}))
+    return;
   Fail("the connection takes no more messages");
 }
 
--- a/src/fleet/relay/internal/relay_session.h
+++ b/src/fleet/relay/internal/relay_session.h
@@ -44,8 +44,8 @@
  private:
   using Pending = std::shared_ptr<OneShot<std::optional<RelayedResult>>>;
 
-  /// Greets the relay until it answers, and shows it how long a message takes. Drops payloads that it
-  /// may have dropped.
+  /// Greets the relay until it answers, and shows it how long a message takes. Drops payloads that
+  /// it may have dropped.
   void Maintain();
   void Flush();
   void Fail(std::string_view reason);
@@ -56,6 +56,7 @@
   bool m_open = false;
   bool m_failed = false;
   std::vector<RelayedCall> m_batch;  // Calls that the next message takes.
+  TimePoint m_batch_began_at{};      // When the first of them was made.
   std::map<uint64_t, Pending> m_pending;
   std::map<JobId, TimePoint> m_payloads;  // When each was sent last.
   Subscription m_maintenance;
--- a/src/fleet/relay/relay_messages.h
+++ b/src/fleet/relay/relay_messages.h
@@ -43,7 +43,7 @@
 };
 
 struct RelayedCalls {
-  TimePoint sent_at{};  ///< On the clock of the sender.
+  TimePoint sent_at{};  ///< When the first of the calls was made, on the clock of the sender.
   std::vector<RelayedCall> calls;
 };
 
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -282,6 +282,21 @@
   EXPECT_EQ(m_behind.holds, 0);
 }
 
+// Guards against a late call that passes for a timely one because the owner was paused between its
+// decision and the message.
+TEST_F(RelayTest, CallOfAnOwnerThatWasPausedIsNotSent) {
+  Connect();
+  const HoldCall call{
+      .lease_until_ms = 5000, .fencing_token = 9, .acknowledged_end = 57, .timeout = 1600ms};
+  std::optional<HoldResult> result;
+  TaskScope scope;
+  scope.Spawn([&]() -> QCoro::Task<void> { result = co_await m_client.Hold(m_to, call); });
+  std::this_thread::sleep_for(1200ms);
+  ASSERT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+  EXPECT_EQ(result->outcome, HoldOutcome::kRelayFailed);
+  EXPECT_EQ(m_behind.holds, 0);
+}
+
 // Guards against more connections to an executor than the owner would open itself.
 TEST_F(RelayTest, OrdersToOneExecutorShareTwoConnections) {
   Connect();
