Relay the report of an executor whose clock has just begun

Callers saw: no report names this; found by reading.

Cause: a result was sent without its report if the clock in the report was 0. The owner then took it for a report without runs and without an incarnation, so it did not see that the executor had restarted.

Change: a report is left out only if it has neither an incarnation nor a time.

--- a/src/fleet/relay/internal/relay_messages.cc
+++ b/src/fleet/relay/internal/relay_messages.cc
@@ -210,7 +210,8 @@
     out.set_outcome(static_cast<uint32_t>(result.outcome));
     out.set_error(result.error);
     out.set_payload_missing(result.payload_missing);
-    if (result.report.clock_ms != 0) EncodeReport(result.report, *out.mutable_report());
+    const bool reported = result.report.incarnation_unix_ms != 0 || result.report.clock_ms != 0;
+    if (reported) EncodeReport(result.report, *out.mutable_report());
   }
   return batch.SerializeAsString();
 }
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -351,6 +351,20 @@
   EXPECT_LT(late, 2s);
 }
 
+// Guards against a report of an executor whose clock has just begun that arrives without its
+// incarnation, so that a restart is not seen.
+TEST(RelayMessagesTest, ReportAtTheBeginningOfTheClockIsComplete) {
+  const RelayedResult result{.number = 3,
+                             .report = {.incarnation_unix_ms = 5,
+                                        .clock_ms = 0,
+                                        .active = {{.task = {.job = JobId("a")}, .run = 1}}}};
+  const auto results = DecodeResults(EncodeResults(std::span(&result, 1)));
+  ASSERT_TRUE(results);
+  ASSERT_EQ(results->size(), 1u);
+  EXPECT_EQ(results->front().report.incarnation_unix_ms, 5);
+  EXPECT_EQ(results->front().report.active.size(), 1u);
+}
+
 // Malformed batches must neither end the process nor yield values out of range.
 TEST(RelayMessagesTest, CorruptedBatchesAreDecodedOrRejected) {
   RelayedCall start{.number = 3,
