--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -12,8 +12,6 @@
 using scheduling::StartAnswer;
 using scheduling::StopAnswer;
 
-constexpr uint16_t kRelayPort = 17461;
-
 /// Records the calls that reach the executors.
 class RecordingExecutors : public Executors {
  public:
@@ -61,7 +59,7 @@
 class RelayTest : public FleetTest {
  protected:
   RelayTest() {
-    m_options.relay_listener = {.address = "127.0.0.1", .port = kRelayPort};
+    m_options.relay_listener = {.address = "127.0.0.1", .port = m_port};
     StartServer();
   }
 
@@ -81,8 +79,18 @@
     m_server.reset();
   }
 
+  /// @return a port that is free. With a fixed one, tests that ran at the same time called the
+  /// relays of
+  ///   each other.
+  uint16_t FreePort() {
+    peering::Transport transport({.self = m_relay, .address = "127.0.0.1"}, m_metrics,
+                                 [](const peering::ReceivedMessage&) {});
+    EXPECT_TRUE(transport.Listen().ok());
+    return transport.port();
+  }
+
   void UseRelay() {
-    const EntryRecord relay{.entry = m_relay, .address = "127.0.0.1:" + std::to_string(kRelayPort)};
+    const EntryRecord relay{.entry = m_relay, .address = "127.0.0.1:" + std::to_string(m_port)};
     m_client.SetRelays(m_pool, std::span(&relay, 1));
   }
 
@@ -129,6 +137,7 @@
 
   const PoolName m_pool{"pool"};
   const EntryId m_relay{"entry-1"};
+  const uint16_t m_port = FreePort();
   const ExecutorAddress m_to{
       .id = scheduling::ExecutorId("x"), .address = "10.0.0.1:80", .relay = m_relay};
   RecordingExecutors m_behind{*m_timers};
@@ -273,6 +282,21 @@
   EXPECT_EQ(m_behind.holds, 0);
 }
 
+// Guards against a late call that passes for a timely one because the owner was paused between its
+// decision and the message.
+TEST_F(RelayTest, CallOfAnOwnerThatWasPausedIsNotSent) {
+  Connect();
+  const HoldCall call{
+      .lease_until_ms = 5000, .fencing_token = 9, .acknowledged_end = 57, .timeout = 1600ms};
+  std::optional<HoldResult> result;
+  TaskScope scope;
+  scope.Spawn([&]() -> QCoro::Task<void> { result = co_await m_client.Hold(m_to, call); });
+  std::this_thread::sleep_for(1200ms);
+  ASSERT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+  EXPECT_EQ(result->outcome, HoldOutcome::kRelayFailed);
+  EXPECT_EQ(m_behind.holds, 0);
+}
+
 // Guards against more connections to an executor than the owner would open itself.
 TEST_F(RelayTest, OrdersToOneExecutorShareTwoConnections) {
   Connect();
@@ -327,6 +351,20 @@
   EXPECT_LT(late, 2s);
 }
 
+// Guards against a report of an executor whose clock has just begun that arrives without its
+// incarnation, so that a restart is not seen.
+TEST(RelayMessagesTest, ReportAtTheBeginningOfTheClockIsComplete) {
+  const RelayedResult result{.number = 3,
+                             .report = {.incarnation_unix_ms = 5,
+                                        .clock_ms = 0,
+                                        .active = {{.task = {.job = JobId("a")}, .run = 1}}}};
+  const auto results = DecodeResults(EncodeResults(std::span(&result, 1)));
+  ASSERT_TRUE(results);
+  ASSERT_EQ(results->size(), 1u);
+  EXPECT_EQ(results->front().report.incarnation_unix_ms, 5);
+  EXPECT_EQ(results->front().report.active.size(), 1u);
+}
+
 // Malformed batches must neither end the process nor yield values out of range.
 TEST(RelayMessagesTest, CorruptedBatchesAreDecodedOrRejected) {
   RelayedCall start{.number = 3,
