Show an order that crosses the unanswered one of a previous owner

Cause: an owner keeps to itself which of its orders had no response. Its successor waits holder_change_interval and then orders the instance with a higher token, while the earlier order may be carried out up to 12 s later. Neither a release nor a takeover tells it.

It needs the unanswered orders in a row that the successor reads.

--- a/src/fleet/tests/instance_orders_test.cc
+++ b/src/fleet/tests/instance_orders_test.cc
@@ -181,6 +181,30 @@
   EXPECT_EQ(m_recorder.orders.size(), 2u);
 }
 
+// Guards against a late copy of an unanswered order of the previous owner that arrives after an
+// order of its successor, which has a higher token.
+TEST_F(InstanceOrdersTest, SuccessorWaitsForUnansweredOrdersOfItsPredecessor) {
+  m_recorder.outcomes.assign(100, Outcome::kUnknown);
+  AnnounceWave();
+  Start();
+  ASSERT_TRUE(WaitForOrders(1));
+  ASSERT_TRUE(Stop());
+  const int64_t token = m_recorder.orders.front().token;
+  StopSignal stop;
+  const OwnerRecord record{.holder = "entry-1", .incarnation = "life-1"};
+  const Row released = m_rows.At(OwnerKey(m_pool));
+  const int64_t epoch =
+      m_rows.Apply({.puts = {{.key = OwnerKey(m_pool), .value = EncodeOwner(record)}}}).version;
+  PoolOwner successor(
+      m_owner_context, m_pool,
+      {.epoch = epoch, .acquired_at = m_timers->Now(), .released_version = released.version});
+  m_scope.Spawn([&]() -> QCoro::Task<void> { static_cast<void>(co_await successor.Run(stop)); });
+  Await(Wait(3s));
+  stop.Request();
+  EXPECT_TRUE(Stop());
+  for (const ReceivedOrder& order : m_recorder.orders) EXPECT_EQ(order.token, token);
+}
+
 // Guards against a move that is planned with an outdated list: while the list cannot be read, the
 // instance may have left the pool by an order of the previous owner.
 TEST_F(InstanceOrdersTest, OutdatedListGivesNoRightToOrder) {
