Log the reason of each stop and stops without a response

The log of a broken disruption budget named the task that was stopped, but not the order: stops left no line. stop_ordered names the reason and the progress that was known then, stop_unanswered a stop that had no response.

--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -245,7 +245,7 @@
   if (wanted) {
     job.MarkStarted();
   } else {
-    OrderStop(active.task, task.runs.back(), now);
+    OrderStop(active.task, task.runs.back(), "not needed", now);
   }
 }
 
@@ -264,7 +264,7 @@
   Note("run_stuck", active.task, active.run, executor.info.id);
   job.FindTask(active.task)->avoided = executor.info.id;
   executor.health.Quarantine(now);
-  OrderStop(active.task, run, now);
+  OrderStop(active.task, run, "no progress", now);
 }
 
 // Load pattern: best-effort tasks slow down user-facing tasks on the same executor, to a degree
@@ -319,7 +319,7 @@
     if (listed) continue;
     if (run && run->phase == RunPhase::kOrdered && run->unanswered_at &&
         *run->unanswered_at < requested_at) {
-      OrderStop(ref.task, *run, now);
+      OrderStop(ref.task, *run, "start unanswered", now);
       continue;
     }
     // If the occurrence has ended, the run exists in the executor's list only.
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -99,7 +99,7 @@
     run->percent = 0;
     if (!run->copy_outstanding || run->phase == RunPhase::kOrdered) continue;
     run->stop_ordered_at.reset();  // A stop of the previous incarnation does not count.
-    OrderStop(ref.task, *run, now);
+    OrderStop(ref.task, *run, "executor restarted", now);
   }
 }
 
@@ -110,8 +110,11 @@
   DropAllRuns(executor, "lease_ran_out");
 }
 
-void PoolScheduler::OrderStop(const TaskId& task, Run& run, TimePoint now) {
+void PoolScheduler::OrderStop(const TaskId& task, Run& run, std::string_view reason,
+                              TimePoint now) {
   if (run.stop_ordered_at && now - *run.stop_ordered_at < kStopRetryInterval) return;
+  Note("stop_ordered", task, run.id, run.executor,
+       std::string(reason).append(", at ").append(std::to_string(run.percent)).append(" percent"));
   run.phase = RunPhase::kStopping;
   run.stop_ordered_at = now;
   // Until this order is confirmed, the run may still appear on the executor.
@@ -121,7 +124,9 @@
 }
 
 void PoolScheduler::StopRun(const StopOrder& stop, TimePoint now) {
-  if (Run* run = FindRun(stop.task, stop.run, stop.executor)) OrderStop(stop.task, *run, now);
+  if (Run* run = FindRun(stop.task, stop.run, stop.executor)) {
+    OrderStop(stop.task, *run, "eviction", now);
+  }
 }
 
 void PoolScheduler::StopAllRuns(Job& job, TimePoint now) {
@@ -133,7 +138,7 @@
                         .occurrence = number,
                         .step = static_cast<int>(step),
                         .index = static_cast<int>(index)};
-        for (Run& run : tasks[index].runs) OrderStop(id, run, now);
+        for (Run& run : tasks[index].runs) OrderStop(id, run, "job ended", now);
       }
     }
   }
@@ -145,7 +150,7 @@
   const bool gang = job.spec(id.step).gang_scheduled;
   for (member.index = gang ? 0 : id.index; Task* task = job.FindTask(member); ++member.index) {
     for (Run& run : task->runs) {
-      if (run.id != except_run) OrderStop(member, run, now);
+      if (run.id != except_run) OrderStop(member, run, "task done", now);
     }
     if (!gang) return;
   }
@@ -214,7 +219,7 @@
     TaskId member = order.task;
     member.index = static_cast<int>(i);
     if (Task* task = job.FindTask(member)) {
-      for (Run& other : task->runs) OrderStop(member, other, now);
+      for (Run& other : task->runs) OrderStop(member, other, "gang incomplete", now);
     }
   }
 }
@@ -222,6 +227,9 @@
 void PoolScheduler::OnStopAnswer(const StopOrder& order, StopAnswer answer, TimePoint now) {
   if (answer == StopAnswer::kOtherExecutor) return OnExecutorGone(order.executor, now);
   if (answer == StopAnswer::kFenced) m_fenced = true;
+  if (answer == StopAnswer::kUnknown) {
+    Note("stop_unanswered", order.task, order.run, order.executor);
+  }
   if (answer != StopAnswer::kAccepted) return;
   if (Run* run = FindRun(order.task, order.run, order.executor)) run->confirmed_at = now;
 }
@@ -280,7 +288,7 @@
     const bool reduces_availability = ref.job->spec(ref.task.step).long_running &&
                                       !ref.job->is_final() && run->percent >= kReadyPercent;
     if (reduces_availability && !WithinDisruptionBudget(ref, 0)) continue;
-    OrderStop(ref.task, *run, now);
+    OrderStop(ref.task, *run, "repeated", now);
   }
 }
 
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -290,7 +290,8 @@
   void StopAllRuns(Job& job, TimePoint now);
   /// Stops all runs of a task, or of its gang, but one.
   void StopOtherRuns(Job& job, const TaskId& task, int64_t except_run, TimePoint now);
-  void OrderStop(const TaskId& task, Run& run, TimePoint now);
+  /// @param reason for the log.
+  void OrderStop(const TaskId& task, Run& run, std::string_view reason, TimePoint now);
   /// Repeats unconfirmed stops.
   void RetryStops(const ExecutorState& executor, TimePoint now);
   /// @param already_stopping number of other tasks of the same step that are being stopped.
