Repeat unanswered starts of tasks with a disruption budget

Callers saw more tasks of a long-running step away than its maxUnavailable allows. Cause: a run whose start had no response and that the next report did not list was stopped without asking the budget, and the stop was repeated as long as it had no response. If the start was carried out late, the task began to work and the next repeated stop ended it, while other tasks of the step were away for the same reason.

Such a start is now repeated under the same run id, which has no effect if the first attempt is carried out late.

--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -319,7 +319,9 @@
     if (listed) continue;
     if (run && run->phase == RunPhase::kOrdered && run->unanswered_at &&
         *run->unanswered_at < requested_at) {
-      OrderStop(ref.task, *run, "start unanswered", now);
+      if (!KeepUnansweredRun(executor, ref, *run, now)) {
+        OrderStop(ref.task, *run, "start unanswered", now);
+      }
       continue;
     }
     // If the occurrence has ended, the run exists in the executor's list only.
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -41,6 +41,8 @@
   bool reachable = true;       ///< Whether calls arrive and responses come back.
   bool loses_answers = false;  ///< Calls arrive, but their responses are lost.
   bool delays_starts = false;  ///< Starts have no response and are carried out late.
+  bool loses_starts = false;   ///< Starts do not arrive and have no response.
+  bool delays_stops = false;   ///< Stops have no response and are carried out late.
   bool delays_holds = false;   ///< Holds have no response and are carried out late.
   bool fails_everything = false;
   double slowdown_factor = 1;
@@ -298,6 +300,7 @@
     m_now += kStep;
     for (auto& [id, executor] : m_executors) executor.Advance(m_now);
     DeliverLateStarts();
+    DeliverLateStops();
     DeliverLateHolds();
     if (owner_paused) return;
     ListRestartedExecutors();
@@ -369,7 +372,14 @@
     }
     for (const StopOrder& stop : orders.stops) {
       const int64_t token = SessionOf(stop.executor).fencing_token();
-      m_scheduler->OnStopAnswer(stop, m_executors.at(stop.executor).Stop(stop, token), m_now);
+      FakeExecutor& executor = m_executors.at(stop.executor);
+      if (executor.reachable && executor.delays_stops) {
+        m_late_stops.push_back({.sent_at = m_now, .order = stop, .fencing_token = token});
+        SessionOf(stop.executor).OnUnanswered();
+        m_scheduler->OnStopAnswer(stop, StopAnswer::kUnknown, m_now);
+        continue;
+      }
+      m_scheduler->OnStopAnswer(stop, executor.Stop(stop, token), m_now);
     }
   }
 
@@ -422,6 +432,13 @@
     bool held_by_network = false;     ///< It arrives once the executor can be reached.
   };
 
+  /// A stop that has had no response and is still carried out.
+  struct LateStop {
+    TimePoint sent_at{};
+    StopOrder order;
+    int64_t fencing_token = 0;
+  };
+
   /// A hold that has had no response and is still carried out.
   struct LateHold {
     TimePoint sent_at{};
@@ -439,6 +456,10 @@
     const ExecutorState* state = m_scheduler->FindExecutor(order.executor);
     const auto terms = state ? session.MakeStart(*state, m_now) : std::nullopt;
     if (!terms) return StartAnswer::kNotSent;
+    if (executor.loses_starts) {
+      session.OnUnanswered();
+      return StartAnswer::kUnknown;
+    }
     if (executor.reachable && !executor.delays_starts) {
       const StartAnswer answer = executor.Start(order, *terms, m_now);
       if (answer == StartAnswer::kUnknown) session.OnUnanswered();
@@ -469,6 +490,14 @@
     });
   }
 
+  void DeliverLateStops() {
+    std::erase_if(m_late_stops, [this](const LateStop& late) {
+      if (m_now - late.sent_at < kLateness) return false;
+      static_cast<void>(m_executors.at(late.order.executor).Stop(late.order, late.fencing_token));
+      return true;
+    });
+  }
+
   void DeliverLateStarts() {
     std::erase_if(m_late_starts, [this](const LateStart& late) {
       FakeExecutor& executor = m_executors.at(late.order.executor);
@@ -501,6 +530,7 @@
   std::map<ExecutorId, ExecutorDescription> m_registry;
   std::map<ExecutorId, TimePoint> m_reached_at;
   std::vector<LateStart> m_late_starts;
+  std::vector<LateStop> m_late_stops;
   std::vector<LateHold> m_late_holds;
   RunLedger m_ledger;
   DurableState m_store;
--- a/src/decisions/scheduling/tests/long_running_tasks_test.cc
+++ b/src/decisions/scheduling/tests/long_running_tasks_test.cc
@@ -76,6 +76,62 @@
   EXPECT_EQ(pool.starts[stops.front().task], 2);
 }
 
+// Guards against violations of the disruption budget (AVAIL, packstring-cf late-all-takeover): the
+// starts of all tasks had no response and were stopped, and both orders were carried out late, so
+// that each stop ended a task that had just begun to work while the others were away.
+TEST(PoolSchedulerTest, TasksThatStartLateAreNotStopped) {
+  FakePool pool(3);
+  for (auto& [id, executor] : pool.executors()) {
+    executor.delays_starts = executor.delays_stops = true;
+  }
+  pool.Submit(MakeJob("a", {MakeSpreadStep()}));
+  std::vector<bool> worked(3);
+  for (int i = 0; i < 200; ++i) {
+    pool.Step();
+    for (int index = 0; index < 3; ++index) {
+      const bool works = pool.CopiesOf({.job = JobId("a"), .index = index}) > 0;
+      EXPECT_TRUE(works || !worked[static_cast<size_t>(index)])
+          << "task " << index << " was stopped, step " << i;
+      worked[static_cast<size_t>(index)] = works;
+    }
+  }
+  EXPECT_EQ(std::count(worked.begin(), worked.end(), true), 3);
+}
+
+// Guards against a task that waits for good for the effect of a start that did not arrive.
+TEST(PoolSchedulerTest, LostStartOfASpreadTaskIsRepeated) {
+  FakePool pool(3);
+  pool.executor("x0").loses_starts = true;
+  pool.Submit(MakeJob("a", {MakeSpreadStep()}));
+  pool.Run(1s);
+  EXPECT_TRUE(pool.executor("x0").running().empty());
+  pool.executor("x0").loses_starts = false;
+  pool.Run(1s);
+  EXPECT_EQ(pool.executor("x0").running().size(), 1u);
+  EXPECT_FALSE(pool.Noted("stop_ordered"));
+}
+
+// Guards against a drained executor that never becomes empty, since it may not be sent the repeated
+// start of a task.
+TEST(PoolSchedulerTest, LostStartOnDrainedExecutorIsPlacedElsewhere) {
+  FakePool pool(4);
+  for (auto& [id, executor] : pool.executors()) executor.loses_starts = true;
+  pool.Submit(MakeJob("a", {MakeSpreadStep()}));
+  pool.Run(100ms);
+  ExecutorId drained;
+  for (const auto& [id, executor] : pool.scheduler().executors()) {
+    if (drained.empty() && !executor.runs.empty()) drained = id;
+  }
+  ASSERT_FALSE(drained.empty());
+  pool.scheduler().SetCordoned(drained, true);
+  for (auto& [id, executor] : pool.executors()) executor.loses_starts = false;
+  pool.Run(3s);
+  EXPECT_TRUE(pool.scheduler().FindExecutor(drained)->runs.empty());
+  for (int index = 0; index < 3; ++index) {
+    EXPECT_EQ(pool.CopiesOf({.job = JobId("a"), .index = index}), 1) << index;
+  }
+}
+
 // Guards against starvation of long-running tasks by smaller tasks that take all capacity as it
 // becomes free.
 TEST(PoolSchedulerTest, LastingTaskGetsRoomInAFullPool) {
