--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -12,6 +12,11 @@
 
 // Delay before an unconfirmed stop is repeated.
 constexpr Duration kStopRetryInterval = 500ms;
+// Delay before a start without a response is repeated.
+constexpr Duration kStartRetryInterval = 500ms;
+// Time after which an order without a response is no longer carried out. Executors were seen to
+// carry out such orders up to 12 s late.
+constexpr Duration kLongestOrderDelay = 12s;
 // How long no tasks are placed on an executor that lacked capacity for a start: until its next
 // report the scheduler's view of its free capacity is outdated.
 constexpr Duration kNoCapacityPause = 100ms;
@@ -101,7 +106,7 @@
     run->percent = 0;
     if (!run->copy_outstanding || run->phase == RunPhase::kOrdered) continue;
     run->stop_ordered_at.reset();  // A stop of the previous incarnation does not count.
-    OrderStop(ref.task, *run, now);
+    OrderStop(ref.task, *run, "executor restarted", now);
   }
 }
 
@@ -112,8 +117,11 @@
   DropAllRuns(executor, "lease_ran_out");
 }
 
-void PoolScheduler::OrderStop(const TaskId& task, Run& run, TimePoint now) {
+void PoolScheduler::OrderStop(const TaskId& task, Run& run, std::string_view reason,
+                              TimePoint now) {
   if (run.stop_ordered_at && now - *run.stop_ordered_at < kStopRetryInterval) return;
+  Note("stop_ordered", task, run.id, run.executor,
+       std::string(reason).append(", at ").append(std::to_string(run.percent)).append(" percent"));
   run.phase = RunPhase::kStopping;
   run.stop_ordered_at = now;
   // Until this order is confirmed, the run may still appear on the executor.
@@ -123,7 +131,9 @@
 }
 
 void PoolScheduler::StopRun(const StopOrder& stop, TimePoint now) {
-  if (Run* run = FindRun(stop.task, stop.run, stop.executor)) OrderStop(stop.task, *run, now);
+  if (Run* run = FindRun(stop.task, stop.run, stop.executor)) {
+    OrderStop(stop.task, *run, "eviction", now);
+  }
 }
 
 void PoolScheduler::StopAllRuns(Job& job, TimePoint now) {
@@ -135,7 +145,7 @@
                         .occurrence = number,
                         .step = static_cast<int>(step),
                         .index = static_cast<int>(index)};
-        for (Run& run : tasks[index].runs) OrderStop(id, run, now);
+        for (Run& run : tasks[index].runs) OrderStop(id, run, "job ended", now);
       }
     }
   }
@@ -147,7 +157,7 @@
   const bool gang = job.spec(id.step).gang_scheduled;
   for (member.index = gang ? 0 : id.index; Task* task = job.FindTask(member); ++member.index) {
     for (Run& run : task->runs) {
-      if (run.id != except_run) OrderStop(member, run, now);
+      if (run.id != except_run) OrderStop(member, run, "task done", now);
     }
     if (!gang) return;
   }
@@ -207,7 +217,10 @@
   }
   Note("start_refused", order.task, order.run, order.executor,
        std::to_string(static_cast<int>(answer)));
-  const bool gang = FindJobMutable(order.task.job)->spec(order.task.step).gang_scheduled;
+  const StepSpec& spec = FindJobMutable(order.task.job)->spec(order.task.step);
+  // The rejection of a repeated start does not settle the first attempt.
+  if (run->repeated_at && run->phase == RunPhase::kOrdered && spec.max_unavailable > 0) return;
+  const bool gang = spec.gang_scheduled;
   RemoveRun(order.task, order.run, *executor);
   if (!gang) return;
   // Without this member the rest of the gang cannot start.
@@ -216,7 +229,7 @@
     TaskId member = order.task;
     member.index = static_cast<int>(i);
     if (Task* task = job.FindTask(member)) {
-      for (Run& other : task->runs) OrderStop(member, other, now);
+      for (Run& other : task->runs) OrderStop(member, other, "gang incomplete", now);
     }
   }
 }
@@ -224,10 +237,29 @@
 void PoolScheduler::OnStopAnswer(const StopOrder& order, StopAnswer answer, TimePoint now) {
   if (answer == StopAnswer::kOtherExecutor) return OnExecutorGone(order.executor, now);
   if (answer == StopAnswer::kFenced) m_fenced = true;
+  if (answer == StopAnswer::kUnknown) {
+    Note("stop_unanswered", order.task, order.run, order.executor);
+  }
   if (answer != StopAnswer::kAccepted) return;
   if (Run* run = FindRun(order.task, order.run, order.executor)) run->confirmed_at = now;
 }
 
+bool PoolScheduler::KeepUnansweredRun(const ExecutorState& executor, const RunRef& ref, Run& run,
+                                      TimePoint now) {
+  if (ref.job->spec(ref.task.step).max_unavailable <= 0 || ref.job->is_final()) return false;
+  const bool takes_starts =
+      executor.listed && executor.responding && !executor.info.leaving && !executor.cordoned;
+  // The order is given up after a while, as the executor may reject it for as long as it runs.
+  if (!takes_starts || now - run.ordered_at >= kLongestOrderDelay) {
+    return now - *run.unanswered_at < kLongestOrderDelay && !WithinDisruptionBudget(ref, 0);
+  }
+  if (run.repeated_at && now - *run.repeated_at < kStartRetryInterval) return true;
+  run.repeated_at = now;
+  m_orders.starts.push_back(MakeStartOrder(*ref.job, ref.task, executor.info.id, run.id));
+  m_plan_needed = true;  // Plan() returns the orders.
+  return true;
+}
+
 bool PoolScheduler::WithinDisruptionBudget(const RunRef& ref, int already_stopping) const {
   const StepSpec& spec = ref.job->spec(ref.task.step);
   if (spec.max_unavailable <= 0) return true;
@@ -279,10 +311,13 @@
     // After a confirmed stop the executor reports the end.
     if (!run || run->phase != RunPhase::kStopping || run->confirmed_at) continue;
     // Another task of the step may have become unavailable since the first attempt.
+    const bool may_have_started =
+        run->unanswered_at && !run->listed && now - *run->unanswered_at < kLongestOrderDelay;
     const bool reduces_availability = ref.job->spec(ref.task.step).long_running &&
-                                      !ref.job->is_final() && run->percent >= kReadyPercent;
+                                      !ref.job->is_final() &&
+                                      (run->percent >= kReadyPercent || may_have_started);
     if (reduces_availability && !WithinDisruptionBudget(ref, 0)) continue;
-    OrderStop(ref.task, *run, now);
+    OrderStop(ref.task, *run, "repeated", now);
   }
 }
 
