Withdraw the repetition of unanswered starts and keep its failing tests

The rejection of a repetition that was still queued was probably taken for the answer to the first attempt, so a run was forgotten that could still begin.

Change: the mend of the disruption budget is taken back.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -543,21 +543,19 @@
   m_team_quotas.ForgetJob(job.id());
   job.MarkStarted();
   if (m_cost) m_budget.Spend(m_cost->BytesOf(*job.definition(), executor.info.id));
-  m_orders.starts.push_back(MakeStartOrder(job, id, executor.info.id, run));
-}
-
-StartOrder PoolScheduler::MakeStartOrder(Job& job, const TaskId& id, const ExecutorId& executor,
-                                         int64_t run) {
-  TaskId holder = id;
-  if (job.spec(id.step).gang_scheduled) holder.index = 0;
+  const std::string& checkpoint =
+      job.spec(id.step).gang_scheduled
+          ? job.FindTask({.job = id.job, .occurrence = id.occurrence, .step = id.step})->checkpoint
+          : task.checkpoint;
   const Step& step = *FindStep(id);
-  const auto ticket = step.tickets.find(executor);
-  return {.executor = executor,
-          .task = id,
-          .run = run,
-          .definition = job.definition(),
-          .checkpoint = job.FindTask(holder)->checkpoint,
-          .ticket = ticket == step.tickets.end() ? std::string() : ticket->second};
+  const auto ticket = step.tickets.find(executor.info.id);
+  m_orders.starts.push_back(
+      {.executor = executor.info.id,
+       .task = id,
+       .run = run,
+       .definition = job.definition(),
+       .checkpoint = checkpoint,
+       .ticket = ticket == step.tickets.end() ? std::string() : ticket->second});
 }
 
 Step* PoolScheduler::FindStep(const TaskId& id) {
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -322,9 +322,7 @@
     if (listed) continue;
     if (run && run->phase == RunPhase::kOrdered && run->unanswered_at &&
         *run->unanswered_at < requested_at) {
-      if (!KeepUnansweredRun(executor, ref, *run, now)) {
-        OrderStop(ref.task, *run, "start unanswered", now);
-      }
+      OrderStop(ref.task, *run, "start unanswered", now);
       continue;
     }
     // If the occurrence has ended, the run exists in the executor's list only.
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -12,11 +12,6 @@
 
 // Delay before an unconfirmed stop is repeated.
 constexpr Duration kStopRetryInterval = 500ms;
-// Delay before a start without a response is repeated.
-constexpr Duration kStartRetryInterval = 500ms;
-// Time after which an order without a response is no longer carried out. Executors were seen to
-// carry out such orders up to 12 s late.
-constexpr Duration kLongestOrderDelay = 12s;
 // How long no tasks are placed on an executor that lacked capacity for a start: until its next
 // report the scheduler's view of its free capacity is outdated.
 constexpr Duration kNoCapacityPause = 100ms;
@@ -217,10 +212,7 @@
   }
   Note("start_refused", order.task, order.run, order.executor,
        std::to_string(static_cast<int>(answer)));
-  const StepSpec& spec = FindJobMutable(order.task.job)->spec(order.task.step);
-  // The rejection of a repeated start does not settle the first attempt.
-  if (run->repeated_at && run->phase == RunPhase::kOrdered && spec.max_unavailable > 0) return;
-  const bool gang = spec.gang_scheduled;
+  const bool gang = FindJobMutable(order.task.job)->spec(order.task.step).gang_scheduled;
   RemoveRun(order.task, order.run, *executor);
   if (!gang) return;
   // Without this member the rest of the gang cannot start.
@@ -244,22 +236,6 @@
   if (Run* run = FindRun(order.task, order.run, order.executor)) run->confirmed_at = now;
 }
 
-bool PoolScheduler::KeepUnansweredRun(const ExecutorState& executor, const RunRef& ref, Run& run,
-                                      TimePoint now) {
-  if (ref.job->spec(ref.task.step).max_unavailable <= 0 || ref.job->is_final()) return false;
-  const bool takes_starts =
-      executor.listed && executor.responding && !executor.info.leaving && !executor.cordoned;
-  // The order is given up after a while, as the executor may reject it for as long as it runs.
-  if (!takes_starts || now - run.ordered_at >= kLongestOrderDelay) {
-    return now - *run.unanswered_at < kLongestOrderDelay && !WithinDisruptionBudget(ref, 0);
-  }
-  if (run.repeated_at && now - *run.repeated_at < kStartRetryInterval) return true;
-  run.repeated_at = now;
-  m_orders.starts.push_back(MakeStartOrder(*ref.job, ref.task, executor.info.id, run.id));
-  m_plan_needed = true;  // Plan() returns the orders.
-  return true;
-}
-
 bool PoolScheduler::WithinDisruptionBudget(const RunRef& ref, int already_stopping) const {
   const StepSpec& spec = ref.job->spec(ref.task.step);
   if (spec.max_unavailable <= 0) return true;
@@ -311,11 +287,8 @@
     // After a confirmed stop the executor reports the end.
     if (!run || run->phase != RunPhase::kStopping || run->confirmed_at) continue;
     // Another task of the step may have become unavailable since the first attempt.
-    const bool may_have_started =
-        run->unanswered_at && !run->listed && now - *run->unanswered_at < kLongestOrderDelay;
     const bool reduces_availability = ref.job->spec(ref.task.step).long_running &&
-                                      !ref.job->is_final() &&
-                                      (run->percent >= kReadyPercent || may_have_started);
+                                      !ref.job->is_final() && run->percent >= kReadyPercent;
     if (reduces_availability && !WithinDisruptionBudget(ref, 0)) continue;
     OrderStop(ref.task, *run, "repeated", now);
   }
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -34,8 +34,6 @@
   std::optional<TimePoint> confirmed_at;
   /// When the owner stopped waiting for the response to the start.
   std::optional<TimePoint> unanswered_at;
-  /// When the start was last repeated after an attempt without a response.
-  std::optional<TimePoint> repeated_at;
   /// An attempt to deliver the start had no response, so a copy of the order may still arrive.
   bool copy_outstanding = false;
   /// The executor has listed the run, so the run belongs to the executor's known incarnation.
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -319,13 +319,6 @@
   int64_t NextRun();
   void Start(Job& job, const TaskId& id, Task& task, ExecutorState& executor, int64_t run,
              TimePoint now);
-  /// @return the order that starts a run, or repeats its start.
-  StartOrder MakeStartOrder(Job& job, const TaskId& id, const ExecutorId& executor, int64_t run);
-  /// Handles a run whose start had no answer and that the executor's report does not list. If its
-  /// step has a disruption budget, the start is repeated, which has no effect if the first attempt
-  /// is carried out late; a stop could end the task after it has begun to work.
-  /// @return whether the run is kept; otherwise it has to be stopped.
-  bool KeepUnansweredRun(const ExecutorState& executor, const RunRef& ref, Run& run, TimePoint now);
   /// Starts second runs of stragglers in capacity that no job waits for.
   void CopyStragglers(Placer& placer, TimePoint now);
   /// @return whether a second run of a task may be started because its only run is a straggler.
