--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -79,12 +79,13 @@
        DescribeEnds(executor) + ", incarnation " +
            std::to_string(executor.info.incarnation_unix_ms) + " to " +
            std::to_string(incarnation_unix_ms));
+  executor.past_incarnations.push_back(executor.info.incarnation_unix_ms);
   executor.info.incarnation_unix_ms = incarnation_unix_ms;
   executor.applied_end = executor.durable_end = 0;
   m_durations->run_times().executors().Forget(id.view());
   executor.link_durable = false;
   executor.reported = false;
-  executor.restarted = true;
+  executor.lease_uncertain = true;
   executor.incarnation_known_at = now;
   executor.lease_bound = std::max(executor.lease_bound, now + m_options.longest_lease_bound);
   m_dirty_links.insert(id);
@@ -100,7 +101,7 @@
     run->percent = 0;
     if (!run->copy_outstanding || run->phase == RunPhase::kOrdered) continue;
     run->stop_ordered_at.reset();  // A stop of the previous incarnation does not count.
-    OrderStop(ref.task, *run, now);
+    OrderStop(ref.task, *run, "executor restarted", now);
   }
 }
 
@@ -111,8 +112,11 @@
   DropAllRuns(executor, "lease_ran_out");
 }
 
-void PoolScheduler::OrderStop(const TaskId& task, Run& run, TimePoint now) {
+void PoolScheduler::OrderStop(const TaskId& task, Run& run, std::string_view reason,
+                              TimePoint now) {
   if (run.stop_ordered_at && now - *run.stop_ordered_at < kStopRetryInterval) return;
+  Note("stop_ordered", task, run.id, run.executor,
+       std::string(reason).append(", at ").append(std::to_string(run.percent)).append(" percent"));
   run.phase = RunPhase::kStopping;
   run.stop_ordered_at = now;
   // Until this order is confirmed, the run may still appear on the executor.
@@ -122,7 +126,9 @@
 }
 
 void PoolScheduler::StopRun(const StopOrder& stop, TimePoint now) {
-  if (Run* run = FindRun(stop.task, stop.run, stop.executor)) OrderStop(stop.task, *run, now);
+  if (Run* run = FindRun(stop.task, stop.run, stop.executor)) {
+    OrderStop(stop.task, *run, "eviction", now);
+  }
 }
 
 void PoolScheduler::StopAllRuns(Job& job, TimePoint now) {
@@ -134,7 +140,7 @@
                         .occurrence = number,
                         .step = static_cast<int>(step),
                         .index = static_cast<int>(index)};
-        for (Run& run : tasks[index].runs) OrderStop(id, run, now);
+        for (Run& run : tasks[index].runs) OrderStop(id, run, "job ended", now);
       }
     }
   }
@@ -146,7 +152,7 @@
   const bool gang = job.spec(id.step).gang_scheduled;
   for (member.index = gang ? 0 : id.index; Task* task = job.FindTask(member); ++member.index) {
     for (Run& run : task->runs) {
-      if (run.id != except_run) OrderStop(member, run, now);
+      if (run.id != except_run) OrderStop(member, run, "task done", now);
     }
     if (!gang) return;
   }
@@ -215,7 +221,7 @@
     TaskId member = order.task;
     member.index = static_cast<int>(i);
     if (Task* task = job.FindTask(member)) {
-      for (Run& other : task->runs) OrderStop(member, other, now);
+      for (Run& other : task->runs) OrderStop(member, other, "gang incomplete", now);
     }
   }
 }
@@ -223,6 +229,9 @@
 void PoolScheduler::OnStopAnswer(const StopOrder& order, StopAnswer answer, TimePoint now) {
   if (answer == StopAnswer::kOtherExecutor) return OnExecutorGone(order.executor, now);
   if (answer == StopAnswer::kFenced) m_fenced = true;
+  if (answer == StopAnswer::kUnknown) {
+    Note("stop_unanswered", order.task, order.run, order.executor);
+  }
   if (answer != StopAnswer::kAccepted) return;
   if (Run* run = FindRun(order.task, order.run, order.executor)) run->confirmed_at = now;
 }
@@ -281,7 +290,7 @@
     const bool reduces_availability = ref.job->spec(ref.task.step).long_running &&
                                       !ref.job->is_final() && run->percent >= kReadyPercent;
     if (reduces_availability && !WithinDisruptionBudget(ref, 0)) continue;
-    OrderStop(ref.task, *run, now);
+    OrderStop(ref.task, *run, "repeated", now);
   }
 }
 
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -318,6 +318,67 @@
   EXPECT_EQ(pool.scheduler().TakeCommit(98).removed_jobs, expired);
 }
 
+// Guards against a task that is started again after its end (TWICE): many jobs end at once, their
+// progress takes several commits, and an owner is killed between two of them. No end may be
+// acknowledged, nor a link written with its number, before the progress is durable.
+TEST(PoolSchedulerTest, OwnerKilledBetweenCommitsOfASplitBatchRepeatsNoTask) {
+  constexpr int kJobs = 24;
+  for (int killed_after = 1; killed_after <= 12; ++killed_after) {
+    FakePool pool(3);
+    pool.Run(100ms);
+    pool.commit_rows = 3;
+    for (int i = 0; i < kJobs; ++i) {
+      pool.Submit(MakeJob("j" + std::to_string(i),
+                          {MakeStep(1, 1000, 100ms), MakeStep(1, 1000, 100ms, {0})}));
+    }
+    pool.Run(100ms);
+    // A restart makes the owner write a link while ends of the other executors are not durable.
+    pool.executor("x2").Restart();
+    pool.Run(FakePool::kStep * killed_after);
+    pool.TakeOver();
+    pool.Run(20s);
+    EXPECT_EQ(pool.ledger().FindRepeatedTask(), std::nullopt) << killed_after;
+    for (int i = 0; i < kJobs; ++i) {
+      EXPECT_EQ(pool.State(JobId("j" + std::to_string(i))), JobState::kCompleted) << i;
+    }
+  }
+}
+
+// Guards against a final state that is forgotten too early (LOST): the new owner knows when the job
+// was accepted, not when it ended, and counted the retention from there.
+TEST(PoolSchedulerTest, RetentionOfAnInheritedFinalJobStartsAtTheTakeover) {
+  const TimePoint now(100s);
+  PoolScheduler scheduler({.taken_over_at = now, .final_retention = 130s});
+  const JobProgress completed{.state = JobState::kCompleted, .finished_occurrences = 1};
+  scheduler.AddJob(std::make_shared<const JobDefinition>(MakeJob("a", {MakeStep(1, 1000, 100ms)})),
+                   &completed, now - 60s, true);
+  scheduler.Advance(now + 125s, 0);
+  EXPECT_TRUE(scheduler.HoldsJob(JobId("a")));
+  scheduler.Advance(now + 131s, 0);
+  EXPECT_EQ(scheduler.TakeExpiredJobs(), std::vector<JobId>{JobId("a")});
+}
+
+// Guards against an occurrence that never runs (LOST): a later one was recorded first, as an owner
+// whose clock was ahead had started it, and the next owner went on after that one.
+TEST(PoolSchedulerTest, OccurrencesBeforeARecordedOneAreNotSkipped) {
+  JobDefinition definition = MakeJob("a", {MakeStep(1, 1000, 100ms)});
+  definition.schedule = {.first_due_unix_ms = 1000, .interval_ms = 1000, .occurrences = 5};
+  const auto shared = std::make_shared<const JobDefinition>(definition);
+  for (const std::vector<std::string>& steps :
+       {std::vector<std::string>{"-"}, std::vector<std::string>{}}) {
+    Job job(shared, TimePoint(1s), true);
+    job.Restore({.state = JobState::kRunning,
+                 .finished_occurrences = 1,
+                 .occurrences = {{.number = 3, .steps = steps}}});
+    job.OpenOccurrences(5000);
+    EXPECT_TRUE(job.occurrences().contains(1));
+    EXPECT_TRUE(job.occurrences().contains(2));
+    EXPECT_EQ(job.occurrences().contains(3), !steps.empty()) << "it is recorded as finished";
+    EXPECT_TRUE(job.occurrences().contains(4));
+    EXPECT_EQ(job.occurrences().contains(0), false);
+  }
+}
+
 // Guards against occurrences that start before they are due or are lost in a takeover.
 TEST(PoolSchedulerTest, OccurrencesRunWhenTheyAreDue) {
   FakePool pool(1);
--- a/src/fleet/tests/executor_link_test.cc
+++ b/src/fleet/tests/executor_link_test.cc
@@ -21,6 +21,7 @@
 
   QCoro::Task<HoldResult> Hold(ExecutorAddress, HoldCall call) override {
     holds.push_back(call);
+    held_at.push_back(m_timers.Now());
     if (results.size() > 1) {
       HoldResult result = results.front();
       results.pop_front();
@@ -45,6 +46,7 @@
 
   std::deque<HoldResult> results;  ///< Of the next holds; the last one is repeated.
   std::vector<HoldCall> holds;
+  std::vector<TimePoint> held_at;
   int starts = 0;
   std::function<void()> on_start;
 
@@ -123,6 +125,25 @@
   EXPECT_TRUE(m_scripted.holds[4].lease_until_ms);
 }
 
+// Guards against ends that are lost (TWICE) and against leases that run out when a relay fails: the
+// hold is repeated at once, since up to 3.7 s of the lease of 5 s are over, but without the terms
+// that the owner chose before the relay failed. The next hold after its report extends the lease.
+TEST_F(ExecutorLinkTest, HoldOfAFailedRelayIsRepeatedAtOnceWithoutItsTerms) {
+  HoldResult with_end = Reported(kIncarnation);
+  with_end.report.ended = {{.number = 7, .task = {.job = JobId("gone")}, .run = 1}};
+  m_scripted.results = {with_end, HoldResult{.outcome = HoldOutcome::kRelayFailed},
+                        Reported(kIncarnation)};
+  ASSERT_TRUE(RunOwnerUntil([&] { return m_scripted.holds.size() >= 4; }));
+  EXPECT_EQ(m_scripted.holds[1].acknowledged_end, 7);
+  EXPECT_TRUE(m_scripted.holds[1].lease_until_ms);
+  EXPECT_EQ(m_scripted.holds[2].acknowledged_end, 0);
+  EXPECT_FALSE(m_scripted.holds[2].lease_until_ms);
+  EXPECT_EQ(m_scripted.holds[2].wait, Duration::zero());
+  EXPECT_LT(m_scripted.held_at[2] - m_scripted.held_at[1], 100ms);
+  EXPECT_EQ(m_scripted.holds[3].acknowledged_end, 7);
+  EXPECT_TRUE(m_scripted.holds[3].lease_until_ms);
+}
+
 // Guards against a second attempt of a start that reaches the next incarnation of an executor
 // (TWICE, review/3).
 TEST_F(ExecutorLinkTest, StartIsNotRepeatedAfterARestart) {
@@ -135,5 +156,31 @@
   EXPECT_EQ(m_scripted.starts, 1);
 }
 
+// Guards against an executor that rejects all calls, so that its capacity is lost: a link that is
+// created anew, after the executor was not listed for a while, began with a lower token than the
+// previous link had used.
+TEST_F(ExecutorLinkTest, NewLinkUsesNoLowerTokenThanItsPredecessor) {
+  m_scripted.results = {Reported(kIncarnation), Reported(kIncarnation + 1)};
+  int64_t highest = 0;
+  size_t before = 0;
+  std::optional<TimePoint> unlisted_at;
+  bool listed_again = false;
+  ASSERT_TRUE(RunOwnerUntil([&] {
+    if (!unlisted_at && m_scripted.holds.size() >= 4) {
+      for (const HoldCall& hold : m_scripted.holds) highest = std::max(highest, hold.fencing_token);
+      m_linked.registry.Set({});
+      unlisted_at = m_timers->Now();
+    }
+    if (unlisted_at && !listed_again && m_timers->Now() - *unlisted_at > 6s) {
+      listed_again = true;
+      before = m_scripted.holds.size();
+      List(kIncarnation + 1);
+    }
+    return listed_again && m_scripted.holds.size() > before;
+  }));
+  EXPECT_GT(highest, m_scripted.holds.front().fencing_token);
+  EXPECT_GE(m_scripted.holds.back().fencing_token, highest);
+}
+
 }  // namespace
 }  // namespace citronferry::fleet
--- a/src/fleet/tests/ownership_test.cc
+++ b/src/fleet/tests/ownership_test.cc
@@ -1,3 +1,4 @@
+#include "fleet/entry/job_repository.h"
 #include "fleet/pool/internal/instance_directory.h"
 #include "fleet/pool/internal/maintenance_slots.h"
 #include "fleet/pool/internal/owner_elector.h"
@@ -5,6 +6,7 @@
 #include "fleet/pool/internal/state_committer.h"
 #include "fleet/tables.h"
 #include "fleet/tests/fleet_fixture.h"
+#include "supervision/time_of_day.h"
 
 namespace citronferry::fleet {
 namespace {
@@ -211,5 +213,117 @@
   EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
 }
 
+class LoadedStateTest : public OwnershipTest {
+ protected:
+  static scheduling::JobDefinition Job(std::string_view id) {
+    return {.id = JobId(id),
+            .queue = QueueName("queue"),
+            .steps = {{}},
+            .accepted_unix_ms = UnixMilliseconds()};
+  }
+  void Store(const scheduling::JobDefinition& job) {
+    m_rows.Apply({.puts = {{.key = JobKey(m_pool, job.id), .value = EncodeJob(job)}}});
+  }
+  void StoreProgress(const JobId& job, std::string value) {
+    m_rows.Apply({.puts = {{.key = ProgressKey(m_pool, job), .value = std::move(value)}}});
+  }
+
+  /// Runs an owner until a condition holds, then stops it.
+  /// @param check called before the owner is stopped.
+  template <typename Predicate, typename Check>
+  void RunOwner(Predicate predicate, Check check) {
+    PoolOwner owner(m_context, m_pool, {.epoch = m_epoch, .acquired_at = m_timers->Now()});
+    StopSignal stop;
+    TaskScope scope;
+    scope.Spawn([&]() -> QCoro::Task<void> { static_cast<void>(co_await owner.Run(stop)); });
+    EXPECT_TRUE(ProcessEventsUntil([&] { return predicate(owner.scheduler()); }));
+    check(owner.scheduler());
+    stop.Request();
+    EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+  }
+};
+
+// Guards against a job that runs again after its end (TWICE): its retention had passed, its
+// definition was not removed yet, and a snapshot of the definitions, read since the store had
+// discarded its history, brought it back without its progress.
+TEST_F(LoadedStateTest, ExpiredJobIsNotTakenForANewOne) {
+  m_options.status_retention = 0s;
+  Store(Job("a"));
+  StoreProgress(JobId("a"), EncodeProgress({.state = scheduling::JobState::kCompleted}));
+  bool loaded = false;
+  RunOwner(
+      [&](const scheduling::PoolScheduler& scheduler) {
+        loaded |= scheduler.HoldsJob(JobId("a"));
+        const bool expired = loaded && !scheduler.HoldsJob(JobId("a"));
+        if (expired && !m_rows.history_lost) {
+          Store(Job("b"));
+          m_rows.history_lost = true;
+        }
+        return scheduler.HoldsJob(JobId("b"));
+      },
+      [](const scheduling::PoolScheduler& scheduler) {
+        EXPECT_FALSE(scheduler.HoldsJob(JobId("a")));
+        EXPECT_EQ(scheduler.open_jobs(), 1u);
+      });
+}
+
+// Guards against a job of which all tasks run again (TWICE) because its progress cannot be decoded
+// and it is taken for a job without any.
+TEST_F(LoadedStateTest, JobWithUnreadableProgressIsNotStarted) {
+  Store(Job("a"));
+  StoreProgress(JobId("a"), R"({"state":17})");
+  Store(Job("b"));
+  RunOwner([](const auto& scheduler) { return scheduler.HoldsJob(JobId("b")); },
+           [](const auto& scheduler) {
+             EXPECT_FALSE(scheduler.HoldsJob(JobId("a")));
+             EXPECT_EQ(scheduler.open_jobs(), 1u);
+           });
+  EXPECT_TRUE(m_rows.Has(ProgressKey(m_pool, JobId("a"))));
+}
+
+// Guards against the same at a later takeover: the progress of a job whose definition cannot be
+// decoded was removed, as if the definition had been removed before.
+TEST_F(LoadedStateTest, ProgressIsKeptWhileTheDefinitionIsThere) {
+  const JobId job("a");
+  m_rows.Apply({.puts = {{.key = JobKey(m_pool, job), .value = "{}"}}});
+  StoreProgress(job, EncodeProgress({.state = scheduling::JobState::kCompleted}));
+  const JobId removed("r");
+  StoreProgress(removed, EncodeProgress({.state = scheduling::JobState::kCompleted}));
+  RunOwner([&](const auto&) { return !m_rows.Has(ProgressKey(m_pool, removed)); },
+           [](const auto&) {});
+  EXPECT_TRUE(m_rows.Has(ProgressKey(m_pool, job)));
+}
+
+// Guards against a task that runs twice at a time: the link of an executor cannot be decoded, and
+// the new owner starts tasks that may still run there before it has called that executor.
+TEST_F(LoadedStateTest, ExecutorWithAnUnreadableLinkIsInherited) {
+  const scheduling::ExecutorId executor("x1");
+  m_rows.Apply({.puts = {{.key = LinkKey(m_pool, executor), .value = "{\"born\":\"?\"}"}}});
+  Store(Job("b"));
+  RunOwner([](const auto& scheduler) { return scheduler.HoldsJob(JobId("b")); },
+           [&](const auto& scheduler) {
+             const auto found = scheduler.executors().find(executor);
+             ASSERT_NE(found, scheduler.executors().end());
+             EXPECT_TRUE(found->second.inherited);
+           });
+}
+
+// Guards against rows that stay behind when an expired job is removed: they would take up space for
+// ever, and the id could not be used again.
+TEST_F(LoadedStateTest, RemovedJobLeavesNoRow) {
+  m_options.status_retention = 0s;
+  const scheduling::JobDefinition job = Job("a");
+  JobRepository jobs(m_context);
+  EXPECT_EQ(Await(jobs.Submit(m_pool, job, m_timers->Now() + 3s)), CallOutcome::kAccepted);
+  StoreProgress(job.id, EncodeProgress({.state = scheduling::JobState::kCompleted}));
+  RunOwner([&](const auto&) { return !m_rows.Has(ProgressKey(m_pool, job.id)); },
+           [](const auto&) {});
+  EXPECT_FALSE(m_rows.Has(JobKey(m_pool, job.id)));
+  EXPECT_FALSE(m_rows.Has(JobPoolKey(job.id)));
+  EXPECT_EQ(Await(jobs.Submit(PoolName("other"), job, m_timers->Now() + 3s)),
+            CallOutcome::kAccepted);
+  EXPECT_TRUE(m_rows.Has(JobKey(PoolName("other"), job.id)));
+}
+
 }  // namespace
 }  // namespace citronferry::fleet
