Test what the mend of tasks that ran twice relies on

No test failed when an unknown run was stopped instead of adopted, or when abandoned runs outlived a restart of their executor; RunOfAStartThatWasGivenUpIsAdopted and FailureAfterARestartCountsForAnAbandonedRun do. The ledger of runs passed over a start in the step in which another run ended.

--- a/src/decisions/scheduling/tests/executor_restart_test.cc
+++ b/src/decisions/scheduling/tests/executor_restart_test.cc
@@ -296,5 +296,53 @@
   EXPECT_EQ(pool.starts[TaskId{.job = JobId("b")}], 0);
 }
 
+// Guards against stopping work that its task needs: a start that was given up has begun after all,
+// and the task waits for capacity.
+TEST_F(ExecutorRestartTest, RunOfAStartThatWasGivenUpIsAdopted) {
+  FakePool pool(1);
+  pool.Run(100ms);
+  pool.Submit(MakeJob("a", {MakeStep(1, 1000, 300ms)}));
+  const Orders orders = pool.scheduler().Plan(pool.now());
+  ASSERT_EQ(orders.starts.size(), 1u);
+  const StartOrder& start = orders.starts.front();
+  FakeExecutor& executor = pool.executor("x0");
+  pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
+  pool.scheduler().SetCordoned(start.executor, true);
+  pool.Run(200ms);
+  executor.Restart();
+  ASSERT_EQ(executor.Start(start, 1, pool.now(), pool.now() + 5s), StartAnswer::kStarted);
+  pool.Run(1s);
+  EXPECT_TRUE(pool.Noted("run_adopted"));
+  EXPECT_EQ(pool.State(JobId("a")), JobState::kCompleted);
+  EXPECT_TRUE(pool.starts.empty()) << "the task was started again";
+}
+
+// Guards against more attempts than a queue allows (BUDGET): a run that was abandoned on one
+// incarnation of an executor is carried out by the next one, which has a lease of its own, and
+// fails.
+TEST_F(ExecutorRestartTest, FailureAfterARestartCountsForAnAbandonedRun) {
+  FakePool pool(1);
+  pool.Run(100ms);
+  pool.Submit(MakeJob("a", {MakeStep(1, 1000, 300ms)}));
+  const Orders orders = pool.scheduler().Plan(pool.now());
+  ASSERT_EQ(orders.starts.size(), 1u);
+  const StartOrder& start = orders.starts.front();
+  FakeExecutor& executor = pool.executor("x0");
+  pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
+  executor.reachable = false;
+  pool.Run(6s);
+  ASSERT_TRUE(pool.scheduler().FindExecutor(start.executor)->runs.empty());
+  pool.scheduler().SetCordoned(start.executor, true);
+  executor.Restart();
+  executor.fails_everything = true;
+  executor.reachable = true;
+  ASSERT_EQ(executor.Start(start, 1, pool.now(), pool.now() + 5s), StartAnswer::kStarted);
+  pool.owner_paused = true;
+  pool.Run(400ms);
+  pool.owner_paused = false;
+  pool.Step();
+  EXPECT_TRUE(pool.Noted("task_failed"));
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
--- a/src/decisions/scheduling/tests/run_ledger.h
+++ b/src/decisions/scheduling/tests/run_ledger.h
@@ -37,7 +37,7 @@
       for (const RecordedRun& first : runs) {
         if (!first.done || !first.acknowledged) continue;
         for (const RecordedRun& second : runs) {
-          if (second.started_at <= *first.ended_at) continue;
+          if (&second == &first || second.started_at < *first.ended_at) continue;
           return task.job.str() + '.' + std::to_string(task.occurrence) + '.' +
                  std::to_string(task.step) + '.' + std::to_string(task.index) + ": run " +
                  std::to_string(second.run) + " was started after run " +
