Correct statements and a repeated constant found in a last reading

The time in which an unanswered order to an instance may still be carried out was defined twice. The reason given for four partitions of jobs named a rate of the store that the grown deployments exceed. Two doc comments were broken over lines.

--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -20,8 +20,8 @@
 
 constexpr std::string_view kCancelSuffix = ".cancel";
 
-// A partition takes 200 transactions a second and the store 600 in all, so that this many
-// partitions take whatever the entries write, even if each job has a transaction of its own.
+// At the target load a surge brings 190 jobs a second to a pool, and the entries may write each in
+// a transaction of its own. A partition takes 200 transactions a second, so these take 800 in all.
 constexpr uint64_t kJobPartitions = 4;
 constexpr std::string_view kJobPartitionPrefix = "jobs/";
 
--- a/src/fleet/pool/internal/instance_directory.cc
+++ b/src/fleet/pool/internal/instance_directory.cc
@@ -12,8 +12,6 @@
 constexpr Duration kMinInterval = 300ms;
 // Covers the mover's interval between reads of 1.5 s and a slow response.
 constexpr Duration kMaxListAgeForOrders = 2500ms;
-// An order without a response may still be carried out up to this much later.
-constexpr Duration kLateOrderWindow = 12s;
 
 }  // namespace
 
--- a/src/fleet/pool/internal/instance_directory.h
+++ b/src/fleet/pool/internal/instance_directory.h
@@ -8,6 +8,9 @@
 
 namespace citronferry::fleet {
 
+/// An order without a response may still be carried out up to this much later.
+inline constexpr Duration kLateOrderWindow = 12s;
+
 /// Orders that take an instance out of service.
 enum class InstanceOrderKind { kMove, kMaintenance };
 
@@ -35,8 +38,7 @@
   bool MayOrder(const InstanceId& id, const PoolName& pool, InstanceOrderKind kind) const;
   /// Records an order that is about to be sent.
   /// @param newest_version version of the last commit of the owner.
-  /// @return the fencing token of the order: that of the unanswered order that it repeats,
-  /// otherwise
+  /// @return the fencing token: that of the unanswered order that this one repeats, or
   ///   newest_version.
   int64_t BeginOrder(const InstanceId& id, InstanceOrderKind kind, int64_t newest_version);
   /// Records the outcome of an order.
--- a/src/fleet/pool/internal/instance_mover.cc
+++ b/src/fleet/pool/internal/instance_mover.cc
@@ -22,8 +22,6 @@
 // From the order of a move until the receiving pool counts the instance among its own.
 constexpr Duration kTransitTime = 2700ms;
 constexpr Duration kMaxListAge = 1500ms;
-// An order without a response may still be carried out up to this much later.
-constexpr Duration kLateOrderWindow = 12s;
 
 }  // namespace
 
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -79,9 +79,7 @@
     m_server.reset();
   }
 
-  /// @return a port that is free. With a fixed one, tests that ran at the same time called the
-  /// relays of
-  ///   each other.
+  /// @return a free port. With a fixed one, tests in several processes called each other's relays.
   uint16_t FreePort() {
     peering::Transport transport({.self = m_relay, .address = "127.0.0.1"}, m_metrics,
                                  [](const peering::ReceivedMessage&) {});
