Forget a start only when its executor rejects it

Cause: six places dropped a run, each for a reason of its own. AbandonRuns dropped starts without a response with the lease of their executor, although the lease ends what runs, not what has yet to begin, and the next lease was given under the same fencing token. A start whose executor did not list it was stopped, and the repeated stop ended tasks that had begun meanwhile.

Change: a start without a response is fenced. The owner begins a fencing token for the executor; a report under that token lists the run, or the run cannot begin any more and its task is placed again. Restarts, expired leases and executors that have gone begin a token as well, and the epoch of a successor is one. No stop is sent for such a start. The first one is fenced at once, repeated ones after a doubling delay, so that tasks whose executors are all late do start.

Ruled out: repeating the start on the same executor, tried before, and a longer wait before a run is given up, which delays every task on a silent executor.

UnansweredStartsTest.StartThatOutlivesALeaseIsRejected failed before (two runs at a time) and passes.

--- a/src/decisions/scheduling/executor_session.h
+++ b/src/decisions/scheduling/executor_session.h
@@ -16,6 +16,9 @@
   int64_t acknowledged_end = 0;           ///< Number of the last end that the executor may forget.
   std::optional<int64_t> lease_until_ms;  ///< On the executor's clock; nothing: not extended.
   int64_t unanswered_calls = 0;           ///< Before the hold; for ExecutorSession::OnReport.
+  /// ExecutorState::fences when the token was begun. An executor that answers the hold rejects all
+  /// calls that were made before.
+  int64_t fences = 0;
 
   /// @return whether the executor is the incarnation that the owner knows.
   bool established() const { return lease_until_ms.has_value(); }
@@ -27,12 +30,13 @@
   int64_t lease_until_ms = 0;  ///< On the executor's clock.
 };
 
-/// Decides what an owner may tell an executor, which can restart under its id. A call names the id
-/// only, and the next incarnation has another clock, numbers its ends anew and knows no fencing
-/// token. Each incarnation is therefore given a token of its own. Once it has answered a call with
-/// that token, it rejects calls that were meant for its predecessor, however late they arrive.
-/// Before that, the owner acknowledges no end, extends no lease and orders no start, but calls to
-/// the predecessor may still take effect.
+/// Decides what an owner may tell an executor, and with which fencing token.
+///
+/// A call without a response may be carried out later, when what it relied on has changed: the
+/// lease under which its run was given up has expired, or the executor has restarted under its id,
+/// with another clock and with ends that are numbered anew. The owner then begins a new token. Once
+/// the executor has answered a call with it, it rejects all earlier calls, however late they
+/// arrive. Before that, the owner acknowledges no end, extends no lease and orders no start.
 class ExecutorSession {
  public:
   /// @param newest_version of the owner's commits, its epoch before the first one; the token for
@@ -42,10 +46,10 @@
   ExecutorSession(int64_t newest_version, Duration lease)
       : m_token(newest_version), m_lease(lease) {}
 
-  /// Makes the terms of a hold that is sent now, with a new token if the owner has learned of a new
-  /// incarnation.
+  /// Makes the terms of a hold that is sent now, with a new token if earlier calls have to be
+  /// rejected.
   /// @param executor as the owner knows it.
-  /// @param newest_version of the owner's commits; the token for a new incarnation.
+  /// @param newest_version of the owner's commits; the new token, if one is needed.
   /// @param now time at which the hold is sent.
   /// @return the terms; they depend on the incarnation only if it is established.
   HoldTerms MakeHold(const ExecutorState& executor, int64_t newest_version, TimePoint now);
@@ -53,7 +57,7 @@
   /// @param now time at which the start is sent.
   /// @return the terms of the start; nothing if it must not be sent.
   std::optional<StartTerms> MakeStart(const ExecutorState& executor, TimePoint now) const;
-  /// @return whether an incarnation waits for a token until the owner has committed again.
+  /// @return whether a new token is needed, for which the owner has to commit again.
   bool AwaitsCommit(const ExecutorState& executor, int64_t newest_version) const;
   /// @return the token for stops and paces.
   int64_t fencing_token() const { return m_token; }
@@ -65,17 +69,28 @@
   void OnReport(const HoldTerms& terms, const ExecutorReport& report, TimePoint now);
 
  private:
-  /// @return whether the incarnation that the owner knows has answered a call with its token.
+  /// What a token was begun for: calls that were made for an earlier one have a lower token.
+  struct Scope {
+    int64_t incarnation_unix_ms = 0;
+    int64_t fences = 0;
+
+    friend bool operator==(const Scope&, const Scope&) = default;
+  };
+
+  static Scope ScopeOf(const ExecutorState& executor) {
+    return {.incarnation_unix_ms = executor.info.incarnation_unix_ms, .fences = executor.fences};
+  }
+  /// @return whether the executor has answered a call with the token that it needs now.
   bool IsEstablished(const ExecutorState& executor) const;
   /// @return the end of a lease that begins now, on the executor's clock.
   int64_t LeaseFrom(TimePoint now) const;
 
   int64_t m_token;
   Duration m_lease;
-  std::optional<int64_t> m_token_incarnation;  // Start time of the incarnation with this token.
-  std::optional<int64_t> m_answered_token;     // Of the last hold that returned a report.
-  int64_t m_reported_incarnation = 0;          // Start time according to that report.
-  int64_t m_clock_ms = 0;                      // The executor's clock according to that report.
+  std::optional<Scope> m_scope;             // Of the token, once a call was made with it.
+  std::optional<int64_t> m_answered_token;  // Of the last hold that returned a report.
+  int64_t m_reported_incarnation = 0;       // Start time according to that report.
+  int64_t m_clock_ms = 0;                   // The executor's clock according to that report.
   TimePoint m_clock_read_at{};
   int64_t m_unanswered_calls = 0;
   int64_t m_unanswered_before_report = 0;
--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -53,6 +53,9 @@
   bool reported = false;      ///< Its known incarnation has sent a report to this owner.
   /// A call to a previous incarnation may extend the lease of this one, on the wrong clock.
   bool lease_uncertain = false;
+  /// Number of times that the owner has asked for earlier calls to be rejected. ExecutorSession
+  /// begins a fencing token for each.
+  int64_t fences = 0;
   /// When this owner learned of the known incarnation, if it is not the first one.
   TimePoint incarnation_known_at{};
   bool responding = false;  ///< It answered the last call.
--- a/src/decisions/scheduling/internal/executor_session.cc
+++ b/src/decisions/scheduling/internal/executor_session.cc
@@ -4,15 +4,15 @@
 
 HoldTerms ExecutorSession::MakeHold(const ExecutorState& executor, int64_t newest_version,
                                     TimePoint now) {
-  const int64_t incarnation = executor.info.incarnation_unix_ms;
-  if (!m_token_incarnation) m_token_incarnation = incarnation;
-  // Calls to the previous incarnation have lower tokens. Versions increase with each commit, and
-  // the epoch of the next owner is higher.
-  if (*m_token_incarnation != incarnation && newest_version > m_token) {
+  const Scope scope = ScopeOf(executor);
+  if (!m_scope) m_scope = scope;
+  // Versions increase with each commit, and the epoch of the next owner is higher.
+  if (*m_scope != scope && newest_version > m_token) {
     m_token = newest_version;
-    m_token_incarnation = incarnation;
+    m_scope = scope;
   }
-  HoldTerms terms{.fencing_token = m_token, .unanswered_calls = m_unanswered_calls};
+  HoldTerms terms{
+      .fencing_token = m_token, .unanswered_calls = m_unanswered_calls, .fences = m_scope->fences};
   const bool answers = executor.responding && m_unanswered_before_report == m_unanswered_calls;
   if (!answers || !IsEstablished(executor)) return terms;
   terms.acknowledged_end = executor.durable_end;
@@ -21,8 +21,7 @@
 }
 
 bool ExecutorSession::AwaitsCommit(const ExecutorState& executor, int64_t newest_version) const {
-  return m_token_incarnation && *m_token_incarnation != executor.info.incarnation_unix_ms &&
-         newest_version <= m_token;
+  return m_scope && *m_scope != ScopeOf(executor) && newest_version <= m_token;
 }
 
 std::optional<StartTerms> ExecutorSession::MakeStart(const ExecutorState& executor,
@@ -41,9 +40,8 @@
 }
 
 bool ExecutorSession::IsEstablished(const ExecutorState& executor) const {
-  const int64_t incarnation = executor.info.incarnation_unix_ms;
-  return m_answered_token == m_token && m_token_incarnation == incarnation &&
-         m_reported_incarnation == incarnation;
+  return m_answered_token == m_token && m_scope == ScopeOf(executor) &&
+         m_reported_incarnation == executor.info.incarnation_unix_ms;
 }
 
 int64_t ExecutorSession::LeaseFrom(TimePoint now) const {
--- a/src/decisions/scheduling/internal/handover.cc
+++ b/src/decisions/scheduling/internal/handover.cc
@@ -72,6 +72,7 @@
                .phase = run.confirmed ? RunPhase::kRunning : RunPhase::kOrdered,
                .ordered_at = now,
                .copy_outstanding = run.copy_outstanding,
+               .fence = 0,  // The token of each owner is higher than those of its predecessors.
                .listed = run.listed,
                .percent_changed_at = now,
                .adopted = true};
@@ -82,8 +83,6 @@
     restored.phase = RunPhase::kStopping;
   } else if (run.confirmed) {
     restored.confirmed_at = now;
-  } else {
-    restored.unanswered_at = now;
   }
   task->runs.push_back(std::move(restored));
   executor.runs.push_back({.job = job, .task = run.task, .run = run.run});
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -227,6 +227,7 @@
   if (!executor) return;
   Note("executor_gone", {}, 0, id);
   DropAllRuns(*executor, "executor_gone");
+  ++executor->fences;
   executor->responding = false;
   executor->listed = false;
   executor->inherited = false;
@@ -253,6 +254,7 @@
       continue;
     }
     RetryStops(executor, now);
+    FenceLateStarts(executor, now);
     if (executor.info.leaving) EvictLongRunningTasks(id, now);
   }
   for (const JobId& id : m_open_jobs) {
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -46,7 +46,7 @@
 
 }  // namespace
 
-void PoolScheduler::OnReport(const ExecutorId& id, const ExecutorReport& report,
+void PoolScheduler::OnReport(const ExecutorId& id, const ExecutorReport& report, int64_t fences,
                              TimePoint requested_at, TimePoint now) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
@@ -70,7 +70,7 @@
   for (const ActiveRun& active : report.active) ApplyActive(*executor, active, now);
   PaceBestEffortTasks(*executor);
   if (report.ended.size() < kMaxListedEnds)
-    RemoveVanishedRuns(*executor, report, requested_at, now);
+    RemoveVanishedRuns(*executor, report, fences, requested_at);
 
   if (!executor->responding) Note("executor_in_touch", {}, 0, id, DescribeEnds(*executor));
   if (!executor->responding || !executor->reported) m_plan_needed = true;
@@ -218,6 +218,8 @@
     return;
   }
   run->listed = true;
+  run->fence_at.reset();
+  task->unanswered_starts = 0;
   if (run->phase == RunPhase::kOrdered) {
     run->phase = RunPhase::kRunning;
     run->confirmed_at = now;
@@ -313,23 +315,20 @@
 }
 
 void PoolScheduler::RemoveVanishedRuns(ExecutorState& executor, const ExecutorReport& report,
-                                       TimePoint requested_at, TimePoint now) {
+                                       int64_t fences, TimePoint requested_at) {
   for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
-    Run* run = FindRun(ref.task, ref.run, executor.info.id);
     const bool listed = std::any_of(
         report.active.begin(), report.active.end(),
         [&](const ActiveRun& active) { return active.run == ref.run && active.task == ref.task; });
     if (listed) continue;
-    if (run && run->phase == RunPhase::kOrdered && run->unanswered_at &&
-        *run->unanswered_at < requested_at) {
-      OrderStop(ref.task, *run, "start unanswered", now);
-      continue;
-    }
     // If the occurrence has ended, the run exists in the executor's list only.
-    const bool gone = !run || (run->confirmed_at && *run->confirmed_at < requested_at);
-    if (!gone) continue;
-    if (run && run->phase == RunPhase::kRunning) {
-      Note("run_vanished", ref.task, ref.run, executor.info.id);
+    if (const Run* run = FindRun(ref.task, ref.run, executor.info.id)) {
+      const bool fenced = run->fence && *run->fence <= fences;
+      const bool confirmed = run->confirmed_at && *run->confirmed_at < requested_at;
+      if (!fenced && !confirmed) continue;
+      if (run->phase != RunPhase::kStopping) {
+        Note(confirmed ? "run_vanished" : "start_fenced", ref.task, ref.run, executor.info.id);
+      }
     }
     RemoveRun(ref.task, ref.run, executor);
   }
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -15,6 +15,16 @@
 // How long no tasks are placed on an executor that lacked capacity for a start: until its next
 // report the scheduler's view of its free capacity is outdated.
 constexpr Duration kNoCapacityPause = 100ms;
+// How long the owner leaves a start without a response to begin. The first one is replaced at once;
+// the time doubles with each further one, since the executors of a task may all be late.
+constexpr Duration kFirstTimeForLateStart = 250ms;
+constexpr int kMaxDoublings = 3;
+
+/// @param earlier number of starts of the task in a row that had no response either.
+Duration TimeForLateStart(int earlier) {
+  if (earlier == 0) return Duration::zero();
+  return kFirstTimeForLateStart * (1 << std::min(earlier - 1, kMaxDoublings));
+}
 
 }  // namespace
 
@@ -88,6 +98,7 @@
   executor.lease_uncertain = true;
   executor.incarnation_known_at = now;
   executor.lease_bound = std::max(executor.lease_bound, now + m_options.longest_lease_bound);
+  ++executor.fences;
   m_dirty_links.insert(id);
   std::erase_if(m_abandoned_runs, [&](const auto& abandoned) { return abandoned.second == id; });
   for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
@@ -99,9 +110,9 @@
     }
     run->listed = false;
     run->percent = 0;
-    if (!run->copy_outstanding || run->phase == RunPhase::kOrdered) continue;
-    run->stop_ordered_at.reset();  // A stop of the previous incarnation does not count.
-    OrderStop(ref.task, *run, "executor restarted", now);
+    run->fence = executor.fences;
+    // A response of the previous incarnation does not tell whether a copy reaches the new one.
+    if (run->copy_outstanding) run->confirmed_at.reset();
   }
 }
 
@@ -110,6 +121,13 @@
     m_abandoned_runs.insert_or_assign({ref.task, ref.run}, executor.info.id);
   }
   DropAllRuns(executor, "lease_ran_out");
+  // The next lease must not let a start begin that was made under this one.
+  ++executor.fences;
+}
+
+void PoolScheduler::FenceStart(ExecutorState& executor, Run& run) {
+  run.fence_at.reset();
+  run.fence = ++executor.fences;
 }
 
 void PoolScheduler::OrderStop(const TaskId& task, Run& run, std::string_view reason,
@@ -175,6 +193,7 @@
     case StartAnswer::kStarted:
       if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
       if (run->phase == RunPhase::kRunning) run->confirmed_at = now;
+      FindJobMutable(order.task.job)->FindTask(order.task)->unanswered_starts = 0;
       return;
     case StartAnswer::kRunOutdated:
       // An earlier attempt, whose response was lost, may have started the run, which may have ended
@@ -184,11 +203,14 @@
       run->confirmed_at = now;
       return;
     case StartAnswer::kUnknown:
-      // The run may have started, or may start later. The next report shows which: a run that it
-      // does not list is stopped, and the task is placed again once the stop is confirmed.
+      // The run may have started, or may start later. It goes on if a report lists it. Otherwise
+      // the task is placed again once the executor rejects the start.
       Note("start_unanswered", order.task, order.run, order.executor);
       run->copy_outstanding = true;
-      if (run->phase == RunPhase::kOrdered) run->unanswered_at = now;
+      run->fence_at =
+          now + TimeForLateStart(
+                    FindJobMutable(order.task.job)->FindTask(order.task)->unanswered_starts++);
+      if (now >= *run->fence_at) FenceStart(*executor, *run);
       return;
     case StartAnswer::kOtherExecutor:
       OnExecutorGone(order.executor, now);
@@ -281,6 +303,13 @@
   for (const StopOrder& stop : EvictionsWithinBudget(id)) StopRun(stop, now);
 }
 
+void PoolScheduler::FenceLateStarts(ExecutorState& executor, TimePoint now) {
+  for (const RunRef& ref : executor.runs) {
+    Run* run = FindRun(ref.task, ref.run, executor.info.id);
+    if (run && run->fence_at && now >= *run->fence_at) FenceStart(executor, *run);
+  }
+}
+
 void PoolScheduler::RetryStops(const ExecutorState& executor, TimePoint now) {
   for (const RunRef& ref : executor.runs) {
     Run* run = FindRun(ref.task, ref.run, executor.info.id);
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -32,10 +32,12 @@
   /// When the executor confirmed the start or the stop. If a report requested after that does not
   /// list the run, the run no longer exists.
   std::optional<TimePoint> confirmed_at;
-  /// When the owner stopped waiting for the response to the start.
-  std::optional<TimePoint> unanswered_at;
   /// An attempt to deliver the start had no response, so a copy of the order may still arrive.
   bool copy_outstanding = false;
+  /// When copies of the start are to be rejected, so that the run either is listed or cannot begin.
+  std::optional<TimePoint> fence_at;
+  /// ExecutorState::fences from which on copies of the start are rejected.
+  std::optional<int64_t> fence;
   /// The executor has listed the run, so the run belongs to the executor's known incarnation.
   bool listed = false;
   std::optional<TimePoint> stop_ordered_at;
@@ -52,7 +54,8 @@
   std::vector<int64_t> failed_runs;  ///< Ids of runs; each counts as an attempt.
   std::string checkpoint;
   std::vector<Run> runs;
-  ExecutorId avoided;  ///< Executor on which it last failed or got stuck.
+  ExecutorId avoided;         ///< Executor on which it last failed or got stuck.
+  int unanswered_starts = 0;  ///< In a row.
 };
 
 /// State of a step within an occurrence.
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -158,9 +158,10 @@
   void OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now);
   void OnStopAnswer(const StopOrder& order, StopAnswer answer, TimePoint now);
   /// Processes an executor's report.
+  /// @param fences HoldTerms::fences of the call that returned it.
   /// @param requested_at when the report was requested.
-  void OnReport(const ExecutorId& id, const ExecutorReport& report, TimePoint requested_at,
-                TimePoint now);
+  void OnReport(const ExecutorId& id, const ExecutorReport& report, int64_t fences,
+                TimePoint requested_at, TimePoint now);
   /// Records that an executor did not answer a call.
   void OnNoAnswer(const ExecutorId& id);
   /// Drops an executor that no longer exists, for example because another one uses its address,
@@ -257,10 +258,10 @@
                  TimePoint now);
   void ApplyFailure(ExecutorState& executor, Job& job, const EndedRun& ended, TimePoint now);
   void ApplyActive(ExecutorState& executor, const ActiveRun& active, TimePoint now);
-  /// Removes runs that should be on an executor but are missing from its report, and stops those
-  /// whose start was not answered before the report was requested.
-  void RemoveVanishedRuns(ExecutorState& executor, const ExecutorReport& report,
-                          TimePoint requested_at, TimePoint now);
+  /// Removes runs that an executor does not list although it has confirmed them, or although it
+  /// rejects their starts from now on.
+  void RemoveVanishedRuns(ExecutorState& executor, const ExecutorReport& report, int64_t fences,
+                          TimePoint requested_at);
   /// Takes over a run that this owner did not start, or stops it if it is not needed.
   void Adopt(ExecutorState& executor, Job& job, Task& task, const ActiveRun& active, TimePoint now);
   /// Adjusts the pace of best-effort tasks to the tail latencies on the executor.
@@ -277,10 +278,12 @@
   void RestoreRun(ExecutorState& executor, const HandedOverRun& run);
   /// Removes a run from its task and frees its resources.
   void RemoveRun(const TaskId& task, int64_t run, ExecutorState& executor);
+  /// Makes an executor reject copies of the run's start, so that its next report decides whether
+  /// the run exists.
+  static void FenceStart(ExecutorState& executor, Run& run);
   /// Handles the restart of an executor under its id. Runs that the previous incarnation has listed
-  /// have ended. Others stay until a report of the new incarnation, which may have received their
-  /// starts; if a copy of a start is outstanding, the run is stopped first, so that the executor
-  /// rejects the copy.
+  /// have ended. Others stay until the new incarnation, which may have received their starts, has
+  /// reported with a token of its own.
   void OnRestarted(ExecutorState& executor, int64_t incarnation_unix_ms, TimePoint now);
   /// Removes all runs of an executor that has gone or whose lease has ended.
   void DropAllRuns(ExecutorState& executor, std::string_view reason);
@@ -292,6 +295,8 @@
   void StopOtherRuns(Job& job, const TaskId& task, int64_t except_run, TimePoint now);
   /// @param reason for the log.
   void OrderStop(const TaskId& task, Run& run, std::string_view reason, TimePoint now);
+  /// Fences starts that have not begun in the time that they were given.
+  void FenceLateStarts(ExecutorState& executor, TimePoint now);
   /// Repeats unconfirmed stops.
   void RetryStops(const ExecutorState& executor, TimePoint now);
   /// @param already_stopping number of other tasks of the same step that are being stopped.
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -130,7 +130,7 @@
     const TimePoint now = timers.Now();
     switch (result.outcome) {
       case HoldOutcome::kReported:
-        m_owner.scheduler().OnReport(m_id, result.report, asked_at, now);
+        m_owner.scheduler().OnReport(m_id, result.report, terms.fences, asked_at, now);
         m_session.OnReport(terms, result.report, now);
         backoff.Reset();
         m_owner.ProcessUpdates();
