Outwait the leases that late calls give to restarted executors

Cause: the owner gave runs on a restarted, silent executor up 10.5 s after the restart, although a call to the previous incarnation that is carried out up to 12 s late can extend the lease on the wrong clock until the new one has answered with its token. A successor did not know of the restart and waited 5.3 s.

Change: until the token is answered the bound is the time of late calls and the longest lease; from then on it is the longest lease. The row of a link tells that its executor has restarted, so that a successor waits for the longest lease. Only executors that restart under their id and then fall silent are concerned.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -51,7 +51,8 @@
   bool listed = false;        ///< It is in the registry.
   bool link_durable = false;  ///< A successor finds its link; required before the first order.
   bool reported = false;      ///< Its known incarnation has sent a report to this owner.
-  /// A call to a previous incarnation may extend the lease of this one, on the wrong clock.
+  /// A call to a previous incarnation may extend the lease of this one, on the wrong clock, until
+  /// this one has a token of its own.
   bool lease_uncertain = false;
   /// Number of times that the owner has asked for earlier calls to be rejected. ExecutorSession
   /// begins a fencing token for each.
--- a/src/decisions/scheduling/internal/commit.cc
+++ b/src/decisions/scheduling/internal/commit.cc
@@ -63,7 +63,8 @@
       batch.links.push_back({.executor = id,
                              .address = executor->info.address,
                              .incarnation_unix_ms = executor->info.incarnation_unix_ms,
-                             .applied_end = executor->applied_end});
+                             .applied_end = executor->applied_end,
+                             .restarted = !executor->past_incarnations.empty()});
     }
   }
   return batch;
--- a/src/decisions/scheduling/internal/handover.cc
+++ b/src/decisions/scheduling/internal/handover.cc
@@ -54,7 +54,8 @@
     executor->info.id = record.executor;
     executor->info.incarnation_unix_ms =
         std::max(executor->info.incarnation_unix_ms, record.incarnation_unix_ms);
-    executor->lease_bound = now + std::min(record.lease_left, m_options.longest_lease_bound);
+    executor->lease_bound = now + std::min(record.lease_left, m_options.late_call_window +
+                                                                  m_options.longest_lease_bound);
     executor->inherited = record.unresolved;
     for (const HandedOverRun& run : record.runs) RestoreRun(*executor, run);
   }
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -120,7 +120,8 @@
   executor.durable_end = link.applied_end;
   executor.inherited = true;
   executor.link_durable = true;
-  executor.lease_bound = m_options.taken_over_at + m_options.lease_bound;
+  executor.lease_bound = m_options.taken_over_at +
+                         (link.restarted ? m_options.longest_lease_bound : m_options.lease_bound);
 }
 
 void PoolScheduler::ListExecutor(const ExecutorDescription& info, TimePoint now) {
@@ -237,8 +238,12 @@
 
 void PoolScheduler::OnLeaseExtended(const ExecutorId& id, TimePoint now) {
   if (ExecutorState* executor = FindExecutor(id)) {
-    executor->lease_bound = std::max(executor->lease_bound, now + m_options.lease_bound);
-    executor->lease_uncertain = false;
+    const bool uncertain = std::exchange(executor->lease_uncertain, false);
+    const TimePoint bound = now + m_options.lease_bound;
+    // A call to the previous incarnation can have extended the lease until now, but no later.
+    executor->lease_bound =
+        uncertain ? now + std::max(m_options.longest_lease_bound, m_options.lease_bound)
+                  : std::max(executor->lease_bound, bound);
   }
 }
 
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -74,9 +74,6 @@
 
   if (!executor->responding) Note("executor_in_touch", {}, 0, id, DescribeEnds(*executor));
   if (!executor->responding || !executor->reported) m_plan_needed = true;
-  if (executor->lease_uncertain) {
-    executor->lease_bound = std::max(executor->lease_bound, now + m_options.longest_lease_bound);
-  }
   executor->responding = executor->contacted = true;
   executor->reported = true;
 }
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -97,7 +97,9 @@
   executor.reported = false;
   executor.lease_uncertain = true;
   executor.incarnation_known_at = now;
-  executor.lease_bound = std::max(executor.lease_bound, now + m_options.longest_lease_bound);
+  // Until the new incarnation has a token of its own, a late call may extend its lease.
+  executor.lease_bound = std::max(executor.lease_bound,
+                                  now + m_options.late_call_window + m_options.longest_lease_bound);
   ++executor.fences;
   m_dirty_links.insert(id);
   std::erase_if(m_abandoned_runs, [&](const auto& abandoned) { return abandoned.second == id; });
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -36,6 +36,8 @@
   /// The same for the longest lease that an executor accepts. A call that reckons a lease on the
   /// clock of a previous incarnation gives the next one at most this.
   Duration longest_lease_bound = 10'500ms;
+  /// Time in which a call without a response may still be carried out.
+  Duration late_call_window = 12s;
   Duration final_retention = 130s;  ///< How long jobs are kept in a final state.
   /// Bytes per second that start orders may take on the owner's link.
   double start_bytes_per_second = std::numeric_limits<double>::infinity();
@@ -59,6 +61,8 @@
   /// Number of the last run end that was processed when the record was written. It is not rewritten
   /// for each end: a successor that is told of an end again finds its effect in the progress.
   int64_t applied_end = 0;
+  /// The executor has restarted under its id, so its lease may be longer than those of its owner.
+  bool restarted = false;
 };
 
 /// Ends of an executor's runs whose effects are durable once a commit is.
--- a/src/decisions/scheduling/tests/late_calls_test.cc
+++ b/src/decisions/scheduling/tests/late_calls_test.cc
@@ -85,12 +85,12 @@
   const StartOrder start = OrderOnFirst(pool);
   FakeExecutor& executor = pool.executor("x0");
   const int64_t lease = executor.ClockMs(pool.now() + 5s);
-  pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
   pool.registry_lags = true;
   executor.Restart();
   ASSERT_EQ(executor.Start(start, {.fencing_token = 1, .lease_until_ms = lease}, pool.now()),
             StartAnswer::kStarted);
   pool.Step();
+  pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
   ASSERT_EQ(pool.scheduler().FindExecutor(ExecutorId("x0"))->runs.size(), 1u);
   pool.scheduler().SetCordoned(ExecutorId("x1"), false);
   executor.reachable = false;
--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -375,8 +375,10 @@
 }
 
 std::string EncodeLink(const LinkRecord& link) {
-  return bj::serialize(bj::object{
-      {"address", link.address}, {"born", link.incarnation_unix_ms}, {"end", link.applied_end}});
+  bj::object row{
+      {"address", link.address}, {"born", link.incarnation_unix_ms}, {"end", link.applied_end}};
+  if (link.restarted) row["restarted"] = true;
+  return bj::serialize(row);
 }
 
 RetVal<LinkRecord> DecodeLink(const scheduling::ExecutorId& id, std::string_view text) {
@@ -386,7 +388,8 @@
   LinkRecord link{.executor = id,
                   .address = reader.Text("address"),
                   .incarnation_unix_ms = reader.Integer("born", json::kClockRange),
-                  .applied_end = reader.Integer("end")};
+                  .applied_end = reader.Integer("end"),
+                  .restarted = reader.Boolean("restarted")};
   if (!reader.ok()) return reader.ret();
   return link;
 }
