Show what a decision to run a task again relied on

StragglerTest.NothingIsCopiedOnAnOldReport fails: a task is copied although the last report on it is seconds old, so that its executor may have listed its end long ago.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -59,10 +59,13 @@
   int64_t fences = 0;
   /// When this owner learned of the known incarnation, if it is not the first one.
   TimePoint incarnation_known_at{};
-  bool responding = false;  ///< It answered the last call.
-  bool contacted = false;   ///< This owner has called it, whether or not it answered.
-  bool inherited = false;   ///< A previous owner may have started tasks on it.
-  bool cordoned = false;    ///< No new tasks: it is drained for maintenance or a move.
+  TimePoint report_requested_at{};  ///< When its last report was requested.
+  bool responding = false;          ///< It answered the last call.
+  bool contacted = false;           ///< This owner has called it, whether or not it answered.
+  /// A previous owner may have acknowledged ends of the known incarnation.
+  bool taken_over = false;
+  bool inherited = false;  ///< A previous owner may have started tasks on it.
+  bool cordoned = false;   ///< No new tasks: it is drained for maintenance or a move.
   std::optional<TimePoint> unlisted_since;
   std::optional<TimePoint> listed_at;
   std::vector<int64_t> past_incarnations;  ///< Start times of those that have ended.
--- a/src/decisions/scheduling/internal/handover.cc
+++ b/src/decisions/scheduling/internal/handover.cc
@@ -56,6 +56,7 @@
         std::max(executor->info.incarnation_unix_ms, record.incarnation_unix_ms);
     executor->lease_bound = now + std::min(record.lease_left, m_options.late_call_window +
                                                                   m_options.longest_lease_bound);
+    executor->taken_over = true;
     executor->inherited = record.unresolved;
     for (const HandedOverRun& run : record.runs) RestoreRun(*executor, run);
   }
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -118,7 +118,7 @@
   executor.info.incarnation_unix_ms = link.incarnation_unix_ms;
   executor.applied_end = link.applied_end;
   executor.durable_end = link.applied_end;
-  executor.inherited = true;
+  executor.taken_over = executor.inherited = true;
   executor.link_durable = true;
   executor.lease_bound = m_options.taken_over_at +
                          (link.restarted ? m_options.longest_lease_bound : m_options.lease_bound);
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -72,8 +72,13 @@
   if (report.ended.size() < kMaxListedEnds)
     RemoveVanishedRuns(*executor, report, fences, requested_at);
 
-  if (!executor->responding) Note("executor_in_touch", {}, 0, id, DescribeEnds(*executor));
+  if (!executor->responding) {
+    Note("executor_in_touch", {}, 0, id,
+         DescribeEnds(*executor) + ", lease bound " +
+             std::to_string(ToMilliseconds(now - executor->lease_bound)) + " ms ago");
+  }
   if (!executor->responding || !executor->reported) m_plan_needed = true;
+  executor->report_requested_at = requested_at;
   executor->responding = executor->contacted = true;
   executor->reported = true;
 }
@@ -82,8 +87,10 @@
   const auto next = std::find_if(ended.begin(), ended.end(), [&](const EndedRun& end) {
     return end.number > executor.applied_end;
   });
-  // The first report to an owner lists what its predecessor has not acknowledged.
-  if (next == ended.end() || !executor.reported || next->number == executor.applied_end + 1) return;
+  // What a predecessor has acknowledged is not known until the first end is applied.
+  if (next == ended.end() || (executor.taken_over && executor.applied_end == 0) ||
+      next->number == executor.applied_end + 1)
+    return;
   Note("ends_missed", {}, 0, executor.info.id,
        std::to_string(executor.applied_end + 1) + " to " + std::to_string(next->number - 1));
 }
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -77,7 +77,9 @@
 
 void PoolScheduler::DropAllRuns(ExecutorState& executor, std::string_view reason) {
   for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
-    Note("run_lost", ref.task, ref.run, executor.info.id, reason);
+    const Run* run = FindRun(ref.task, ref.run, executor.info.id);
+    Note("run_lost", ref.task, ref.run, executor.info.id,
+         std::string(reason).append(run && run->copy_outstanding ? ", start unanswered" : ""));
     RemoveRun(ref.task, ref.run, executor);
   }
 }
@@ -94,7 +96,7 @@
   executor.applied_end = executor.durable_end = 0;
   m_durations->run_times().executors().Forget(id.view());
   executor.link_durable = false;
-  executor.reported = false;
+  executor.reported = executor.taken_over = false;
   executor.lease_uncertain = true;
   executor.incarnation_known_at = now;
   // Until the new incarnation has a token of its own, a late call may extend its lease.
--- a/src/decisions/scheduling/internal/stragglers.cc
+++ b/src/decisions/scheduling/internal/stragglers.cc
@@ -69,7 +69,10 @@
     if (!executor || executor->info.id == current) continue;
     if (m_durations->SlownessOf(executor->info) > 1) continue;
     const int64_t run = NextRun();
-    Note("straggler_copied", id, run, executor->info.id);
+    const ExecutorState* slow = FindExecutor(current);
+    const auto age = slow ? ToMilliseconds(now - slow->report_requested_at) : -1;
+    Note("straggler_copied", id, run, executor->info.id,
+         "report of " + current.str() + " requested " + std::to_string(age) + " ms ago");
     Start(*job, id, task, *executor, run, now);
   }
 }
--- a/src/decisions/scheduling/tests/run_times_use_test.cc
+++ b/src/decisions/scheduling/tests/run_times_use_test.cc
@@ -191,6 +191,20 @@
   EXPECT_EQ(m_pool.CopiesOf(straggler), 0) << "the overtaken run is stopped";
 }
 
+// Guards against a copy of a task whose end its executor has listed (TWICE): the report takes
+// seconds to reach the owner, which takes the run for a straggler meanwhile.
+TEST_F(StragglerTest, NothingIsCopiedOnAnOldReport) {
+  Warm(m_pool, 20, true);
+  const TaskId straggler = SubmitStraggler("straggler", true);
+  m_pool.Run(100ms);
+  m_pool.call_timeout = 5s;
+  for (auto& [id, executor] : m_pool.executors()) {
+    if (executor.Runs(straggler)) executor.reachable = false;
+  }
+  m_pool.Run(4s);
+  EXPECT_EQ(m_pool.starts[straggler], 1);
+}
+
 // A second run of a task may exist only where copies are allowed: a task may charge somebody.
 TEST_F(StragglerTest, TaskWithoutCopiesIsNeverCopied) {
   Warm(m_pool, 20);
