Copy a straggler only on a report that has just been requested

Cause: CopyStragglers looked at the time since a run was ordered, not at the age of what the owner knew of it. A report that was requested long ago, or that takes long to arrive, left the run in place after its end.

Change: a copy needs a report that was requested at most 250 ms ago; otherwise the executor is asked for one without waiting. The order is dropped 500 ms after that request, and an attempt takes 400 ms at most, so the copy begins within a second.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -60,6 +60,7 @@
   /// When this owner learned of the known incarnation, if it is not the first one.
   TimePoint incarnation_known_at{};
   TimePoint report_requested_at{};  ///< When its last report was requested.
+  bool report_wanted = false;       ///< The next report is to be returned without waiting.
   bool responding = false;          ///< It answered the last call.
   bool contacted = false;           ///< This owner has called it, whether or not it answered.
   /// A previous owner may have acknowledged ends of the known incarnation.
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -1,6 +1,7 @@
 // PoolScheduler: processes executors' reports, which list ended and active runs. Adopts runs of
 // previous owners and detects runs that are stuck or missing.
 #include <algorithm>
+#include <utility>
 
 #include "decisions/scheduling/pool_scheduler.h"
 
@@ -79,6 +80,7 @@
   }
   if (!executor->responding || !executor->reported) m_plan_needed = true;
   executor->report_requested_at = requested_at;
+  if (std::exchange(executor->report_wanted, false)) m_seek_stragglers = m_plan_needed = true;
   executor->responding = executor->contacted = true;
   executor->reported = true;
 }
--- a/src/decisions/scheduling/internal/stragglers.cc
+++ b/src/decisions/scheduling/internal/stragglers.cc
@@ -14,6 +14,10 @@
 // Share of the running tasks that may have a second run for this reason. At 3 stragglers in 100
 // tasks it is reached only when the distributions are wrong.
 constexpr double kMaxCopiedShare = 0.05;
+// The run may have ended right after its executor was asked for the report, and a copy must not
+// start more than a second after an end was listed.
+constexpr Duration kMaxReportAge = 250ms;
+constexpr Duration kCopyValidity = 500ms;
 
 }  // namespace
 
@@ -65,15 +69,21 @@
     if (!m_budget.available()) return;
     if (!m_team_quotas.Allows(job->definition()->team, job->spec(id.step).request)) continue;
     const ExecutorId current = task.runs.front().executor;
+    ExecutorState* slow = FindExecutor(current);
+    if (!slow) continue;
+    if (now - slow->report_requested_at > kMaxReportAge) {
+      slow->report_wanted = true;
+      continue;
+    }
     ExecutorState* executor = placer.Place(placement, current);
     if (!executor || executor->info.id == current) continue;
     if (m_durations->SlownessOf(executor->info) > 1) continue;
     const int64_t run = NextRun();
-    const ExecutorState* slow = FindExecutor(current);
-    const auto age = slow ? ToMilliseconds(now - slow->report_requested_at) : -1;
+    const auto age = ToMilliseconds(now - slow->report_requested_at);
     Note("straggler_copied", id, run, executor->info.id,
          "report of " + current.str() + " requested " + std::to_string(age) + " ms ago");
     Start(*job, id, task, *executor, run, now);
+    m_orders.starts.back().send_before = slow->report_requested_at + kCopyValidity;
   }
 }
 
--- a/src/decisions/scheduling/types.h
+++ b/src/decisions/scheduling/types.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -219,6 +220,8 @@
   std::shared_ptr<const JobDefinition> definition;
   std::string checkpoint;  ///< Where the task continues; empty for its beginning.
   std::string ticket;      ///< Issued by the placement adviser; empty if none is needed.
+  /// The order is not sent after this time, if there is one: it relies on a report that ages.
+  std::optional<TimePoint> send_before;
 };
 
 /// Stops a run.
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -115,10 +115,11 @@
     // the lease has expired.
     const scheduling::HoldTerms terms =
         m_session.MakeHold(*state, m_owner.newest_version(), asked_at);
+    const bool may_wait = terms.established() && !state->report_wanted;
     const HoldCall call{.lease_until_ms = terms.lease_until_ms,
                         .fencing_token = terms.fencing_token,
                         .acknowledged_end = terms.acknowledged_end,
-                        .wait = terms.established() ? kHoldWait : Duration::zero(),
+                        .wait = may_wait ? kHoldWait : Duration::zero(),
                         .timeout = kHoldTimeout,
                         .abort = &ended};
     if (terms.established()) m_owner.scheduler().OnLeaseExtended(m_id, asked_at);
@@ -187,7 +188,7 @@
     const ExecutorState* state = m_owner.scheduler().FindExecutor(m_id);
     if (!state || !m_owner.scheduler().IsWanted(order) || !m_owner.may_order()) break;
     const auto terms = m_session.MakeStart(*state, now);
-    if (!terms || now - queued_at > kMaxOrderAge) break;
+    if (!terms || now - queued_at > kMaxOrderAge || now > order.send_before.value_or(now)) break;
     m_owner.scheduler().OnLeaseExtended(m_id, now);
     const StartCall call{.order = order,
                          .lease_until_ms = terms->lease_until_ms,
