Keep an executor in use while a start to it is being fenced

The present token serves on until the hold that carries the new one is sent; only a restart, an expired lease or an executor that has gone requires the new token at once. Planning leaves out an executor that awaits its token, and a link that needs a token asks for a commit.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -57,6 +57,10 @@
   /// Number of times that the owner has asked for earlier calls to be rejected. ExecutorSession
   /// begins a fencing token for each.
   int64_t fences = 0;
+  /// Value of fences from which on the executor may be given starts, leases and acknowledgements.
+  int64_t required_fences = 0;
+  int64_t answered_fences = 0;  ///< Value of fences for the token of its last report.
+  bool awaits_token = false;    ///< It has not answered a call with its new token yet.
   /// When this owner learned of the known incarnation, if it is not the first one.
   TimePoint incarnation_known_at{};
   TimePoint report_requested_at{};  ///< When its last report was requested.
--- a/src/decisions/scheduling/internal/executor_session.cc
+++ b/src/decisions/scheduling/internal/executor_session.cc
@@ -40,8 +40,9 @@
 }
 
 bool ExecutorSession::IsEstablished(const ExecutorState& executor) const {
-  return m_answered_token == m_token && m_scope == ScopeOf(executor) &&
-         m_reported_incarnation == executor.info.incarnation_unix_ms;
+  const int64_t incarnation = executor.info.incarnation_unix_ms;
+  return m_answered_token == m_token && m_scope && m_scope->incarnation_unix_ms == incarnation &&
+         m_scope->fences >= executor.required_fences && m_reported_incarnation == incarnation;
 }
 
 int64_t ExecutorSession::LeaseFrom(TimePoint now) const {
--- a/src/decisions/scheduling/internal/executor_state.cc
+++ b/src/decisions/scheduling/internal/executor_state.cc
@@ -49,6 +49,7 @@
 bool ExecutorState::Usable(TimePoint now) const {
   if (!listed || !link_durable || !reported || !responding) return false;
   if (info.leaving || cordoned) return false;
+  if (awaits_token || answered_fences < required_fences) return false;
   if (health.quarantined(now) || now < no_capacity_until) return false;
   // During probation, one task at a time.
   return !health.on_probation() || runs.empty();
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -223,12 +223,16 @@
   Note("executor_silent", {}, 0, id, DescribeEnds(*executor));
 }
 
+void PoolScheduler::OnTokenBegun(const ExecutorId& id) {
+  if (ExecutorState* executor = FindExecutor(id)) executor->awaits_token = true;
+}
+
 void PoolScheduler::OnExecutorGone(const ExecutorId& id, TimePoint now) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
   Note("executor_gone", {}, 0, id);
   DropAllRuns(*executor, "executor_gone");
-  ++executor->fences;
+  executor->required_fences = ++executor->fences;
   executor->responding = false;
   executor->listed = false;
   executor->inherited = false;
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -80,6 +80,8 @@
   }
   if (!executor->responding || !executor->reported) m_plan_needed = true;
   executor->report_requested_at = requested_at;
+  executor->answered_fences = fences;
+  if (std::exchange(executor->awaits_token, false)) m_plan_needed = true;
   if (std::exchange(executor->report_wanted, false)) m_seek_stragglers = m_plan_needed = true;
   executor->responding = executor->contacted = true;
   executor->reported = true;
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -102,7 +102,7 @@
   // Until the new incarnation has a token of its own, a late call may extend its lease.
   executor.lease_bound = std::max(executor.lease_bound,
                                   now + m_options.late_call_window + m_options.longest_lease_bound);
-  ++executor.fences;
+  executor.required_fences = ++executor.fences;
   m_dirty_links.insert(id);
   std::erase_if(m_abandoned_runs, [&](const auto& abandoned) { return abandoned.second == id; });
   for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
@@ -126,7 +126,7 @@
   }
   DropAllRuns(executor, "lease_ran_out");
   // The next lease must not let a start begin that was made under this one.
-  ++executor.fences;
+  executor.required_fences = ++executor.fences;
 }
 
 void PoolScheduler::FenceStart(ExecutorState& executor, Run& run) {
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -168,6 +168,9 @@
                 TimePoint requested_at, TimePoint now);
   /// Records that an executor did not answer a call.
   void OnNoAnswer(const ExecutorId& id);
+  /// Records that a call with a new fencing token is sent to an executor. It gets no starts before
+  /// its next report.
+  void OnTokenBegun(const ExecutorId& id);
   /// Drops an executor that no longer exists, for example because another one uses its address,
   /// with all its runs.
   void OnExecutorGone(const ExecutorId& id, TimePoint now);
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -338,7 +338,9 @@
       if (executor.reachable) m_reached_at[id] = m_now;
       if (!executor.reachable && m_now - m_reached_at[id] < call_timeout) continue;
       ExecutorSession& session = SessionOf(id);
+      const int64_t token = session.fencing_token();
       const HoldTerms terms = session.MakeHold(*state, m_version, m_now);
+      if (terms.fencing_token != token) m_scheduler->OnTokenBegun(id);
       if (terms.established()) m_scheduler->OnLeaseExtended(id, m_now);
       const auto report = Hold(executor, id, terms);
       if (report) {
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -85,6 +85,7 @@
     if (!state) co_return;
     const bool awaits_commit = m_session.AwaitsCommit(*state, m_owner.newest_version());
     if (state->durable_end >= state->applied_end && !awaits_commit) co_return;
+    if (awaits_commit) m_owner.RequestCommit();
     co_await m_commits.Next(timers, deadline - timers.Now());
   }
 }
@@ -113,8 +114,10 @@
     const TimePoint asked_at = timers.Now();
     // The lease of an unresponsive executor is not extended, so that its runs can be replaced once
     // the lease has expired.
+    const int64_t token = m_session.fencing_token();
     const scheduling::HoldTerms terms =
         m_session.MakeHold(*state, m_owner.newest_version(), asked_at);
+    if (terms.fencing_token != token) m_owner.scheduler().OnTokenBegun(m_id);
     const bool may_wait = terms.established() && !state->report_wanted;
     const HoldCall call{.lease_until_ms = terms.lease_until_ms,
                         .fencing_token = terms.fencing_token,
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -67,6 +67,8 @@
   bool HasSettled(const Instance& instance) const;
   /// Plans after events, sends the orders and wakes the committer.
   void ProcessUpdates();
+  /// Makes the owner commit soon, also if its state has not changed: a commit gives a new version.
+  void RequestCommit() { m_committer->Wake(); }
   /// Uses an executor again that was taken for gone or was cordoned.
   void Readmit(const scheduling::ExecutorId& id);
 
