--- a/src/decisions/scheduling/executor_session.h
+++ b/src/decisions/scheduling/executor_session.h
@@ -87,6 +87,7 @@
 
   int64_t m_token;
   Duration m_lease;
+  bool m_token_used = false;                // A hold with terms was sent with the token.
   std::optional<Scope> m_scope;             // Of the token, once a call was made with it.
   std::optional<int64_t> m_answered_token;  // Of the last hold that returned a report.
   int64_t m_reported_incarnation = 0;       // Start time according to that report.
--- a/src/decisions/scheduling/internal/executor_session.cc
+++ b/src/decisions/scheduling/internal/executor_session.cc
@@ -6,10 +6,15 @@
                                     TimePoint now) {
   const Scope scope = ScopeOf(executor);
   if (!m_scope) m_scope = scope;
+  // Starts without a response ask for one token after the other when responses are late. Each token
+  // is therefore used for a lease and acknowledgements before the next one begins.
+  const bool required = m_scope->incarnation_unix_ms != scope.incarnation_unix_ms ||
+                        m_scope->fences < executor.required_fences;
   // Versions increase with each commit, and the epoch of the next owner is higher.
-  if (*m_scope != scope && newest_version > m_token) {
+  if (*m_scope != scope && newest_version > m_token && (required || m_token_used)) {
     m_token = newest_version;
     m_scope = scope;
+    m_token_used = false;
   }
   HoldTerms terms{
       .fencing_token = m_token, .unanswered_calls = m_unanswered_calls, .fences = m_scope->fences};
@@ -17,6 +22,7 @@
   if (!answers || !IsEstablished(executor)) return terms;
   terms.acknowledged_end = executor.durable_end;
   terms.lease_until_ms = LeaseFrom(now);
+  m_token_used = true;
   return terms;
 }
 
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -120,8 +120,11 @@
   executor.durable_end = link.applied_end;
   executor.taken_over = executor.inherited = true;
   executor.link_durable = true;
-  executor.lease_bound = m_options.taken_over_at +
-                         (link.restarted ? m_options.longest_lease_bound : m_options.lease_bound);
+  // Whether a restarted executor has answered with its token is not known.
+  executor.lease_bound =
+      m_options.taken_over_at + (link.restarted
+                                     ? m_options.late_call_window + m_options.longest_lease_bound
+                                     : m_options.lease_bound);
 }
 
 void PoolScheduler::ListExecutor(const ExecutorDescription& info, TimePoint now) {
@@ -139,12 +142,14 @@
   const std::vector<int64_t>& past = executor.past_incarnations;
   const bool outdated = std::find(past.begin(), past.end(), incarnation) != past.end();
   if (incarnation < known_incarnation || outdated) return;
-  if (incarnation > known_incarnation && known_incarnation != 0) {
+  // The past incarnations that a previous owner has met are not known, so its report decides.
+  const bool undecided = executor.taken_over && !executor.reported && known_incarnation != 0;
+  if (incarnation > known_incarnation && known_incarnation != 0 && !undecided) {
     OnRestarted(executor, incarnation, now);
   }
   const bool started_leaving = info.leaving && !executor.info.leaving;
   executor.info = info;
-  executor.info.incarnation_unix_ms = incarnation;
+  executor.info.incarnation_unix_ms = undecided ? known_incarnation : incarnation;
   if (!executor.listed_at) executor.listed_at = now;
   if (!executor.link_durable) {
     m_dirty_links.insert(info.id);
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -71,7 +71,7 @@
   for (const ActiveRun& active : report.active) ApplyActive(*executor, active, now);
   PaceBestEffortTasks(*executor);
   if (report.ended.size() < kMaxListedEnds)
-    RemoveVanishedRuns(*executor, report, fences, requested_at);
+    RemoveVanishedRuns(*executor, report, fences, requested_at, now);
 
   if (!executor->responding) {
     Note("executor_in_touch", {}, 0, id,
@@ -323,22 +323,25 @@
 }
 
 void PoolScheduler::RemoveVanishedRuns(ExecutorState& executor, const ExecutorReport& report,
-                                       int64_t fences, TimePoint requested_at) {
+                                       int64_t fences, TimePoint requested_at, TimePoint now) {
   for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
     const bool listed = std::any_of(
         report.active.begin(), report.active.end(),
         [&](const ActiveRun& active) { return active.run == ref.run && active.task == ref.task; });
     if (listed) continue;
     // If the occurrence has ended, the run exists in the executor's list only.
+    bool never_began = false;
     if (const Run* run = FindRun(ref.task, ref.run, executor.info.id)) {
       const bool fenced = run->fence && *run->fence <= fences;
       const bool confirmed = run->confirmed_at && *run->confirmed_at < requested_at;
       if (!fenced && !confirmed) continue;
+      never_began = fenced && run->phase == RunPhase::kOrdered;
       if (run->phase != RunPhase::kStopping) {
         Note(confirmed ? "run_vanished" : "start_fenced", ref.task, ref.run, executor.info.id);
       }
     }
     RemoveRun(ref.task, ref.run, executor);
+    if (never_began) StopIncompleteGang(*ref.job, ref.task, now);
   }
 }
 
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -211,6 +211,7 @@
       // the task is placed again once the executor rejects the start.
       Note("start_unanswered", order.task, order.run, order.executor);
       run->copy_outstanding = true;
+      if (run->listed) return;  // Copies of its start have no effect.
       run->fence_at =
           now + TimeForLateStart(
                     FindJobMutable(order.task.job)->FindTask(order.task)->unanswered_starts++);
@@ -238,17 +239,15 @@
   }
   Note("start_refused", order.task, order.run, order.executor,
        std::to_string(static_cast<int>(answer)));
-  const bool gang = FindJobMutable(order.task.job)->spec(order.task.step).gang_scheduled;
   RemoveRun(order.task, order.run, *executor);
-  if (!gang) return;
-  // Without this member the rest of the gang cannot start.
-  Job& job = *FindJobMutable(order.task.job);
-  for (size_t i = 0; i < static_cast<size_t>(job.spec(order.task.step).replicas); ++i) {
-    TaskId member = order.task;
-    member.index = static_cast<int>(i);
-    if (Task* task = job.FindTask(member)) {
-      for (Run& other : task->runs) OrderStop(member, other, "gang incomplete", now);
-    }
+  StopIncompleteGang(*FindJobMutable(order.task.job), order.task, now);
+}
+
+void PoolScheduler::StopIncompleteGang(Job& job, const TaskId& missing, TimePoint now) {
+  if (!job.spec(missing.step).gang_scheduled) return;
+  TaskId member = missing;
+  for (member.index = 0; Task* task = job.FindTask(member); ++member.index) {
+    for (Run& run : task->runs) OrderStop(member, run, "gang incomplete", now);
   }
 }
 
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -268,7 +268,7 @@
   /// Removes runs that an executor does not list although it has confirmed them, or although it
   /// rejects their starts from now on.
   void RemoveVanishedRuns(ExecutorState& executor, const ExecutorReport& report, int64_t fences,
-                          TimePoint requested_at);
+                          TimePoint requested_at, TimePoint now);
   /// Takes over a run that this owner did not start, or stops it if it is not needed.
   void Adopt(ExecutorState& executor, Job& job, Task& task, const ActiveRun& active, TimePoint now);
   /// Adjusts the pace of best-effort tasks to the tail latencies on the executor.
@@ -300,6 +300,8 @@
   void StopAllRuns(Job& job, TimePoint now);
   /// Stops all runs of a task, or of its gang, but one.
   void StopOtherRuns(Job& job, const TaskId& task, int64_t except_run, TimePoint now);
+  /// Stops the rest of a gang that cannot start without one of its members.
+  void StopIncompleteGang(Job& job, const TaskId& missing, TimePoint now);
   /// @param reason for the log.
   void OrderStop(const TaskId& task, Run& run, std::string_view reason, TimePoint now);
   /// Fences starts that have not begun in the time that they were given.
--- a/src/decisions/scheduling/tests/executor_restart_test.cc
+++ b/src/decisions/scheduling/tests/executor_restart_test.cc
@@ -343,5 +343,31 @@
   EXPECT_TRUE(pool.Noted("task_failed"));
 }
 
+// Guards against giving up runs that go on (TWICE): after a handover, the registry lists a past
+// incarnation with a later start time, which the successor takes for a restart.
+TEST_F(ExecutorRestartTest, RegistryDoesNotGoBackToAPastIncarnationAfterAHandover) {
+  FakePool pool(2);
+  const TaskId task{.job = JobId("b")};
+  pool.Run(200ms);
+  pool.call_timeout = 500ms;
+  FakeExecutor& executor = pool.executor("x0");
+  const ExecutorDescription outdated = executor.info();
+  pool.registry_lags = true;
+  executor.Restart(-500);
+  pool.Run(200ms);
+  pool.scheduler().SetCordoned(ExecutorId("x1"), true);
+  pool.Submit(MakeJob("b", {MakeStep(1, 1000, 60s)}));
+  pool.Run(300ms);
+  ASSERT_TRUE(executor.Runs(task));
+  ASSERT_TRUE(pool.HandOver());
+  pool.scheduler().ListExecutor(outdated, pool.now());
+  // The first report of the executor comes after that of the other one.
+  executor.reachable = false;
+  pool.Run(60ms);
+  executor.reachable = true;
+  pool.Run(1s);
+  EXPECT_EQ(pool.starts[task], 1);
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
--- a/src/decisions/scheduling/tests/executor_session_test.cc
+++ b/src/decisions/scheduling/tests/executor_session_test.cc
@@ -73,5 +73,18 @@
   EXPECT_TRUE(Hold().established());
 }
 
+// Guards against leases that run out and ends that are not acknowledged (LOST) when responses are
+// late: each hold finds a further start without a response, which asks for a token.
+TEST_F(ExecutorSessionTest, FencesInARowDoNotSuspendLeases) {
+  HoldAndReport(400);
+  int established = 0;
+  for (int i = 0; i < 20; ++i) {
+    ++m_executor.fences;
+    ++m_version;
+    established += HoldAndReport(400).established() ? 1 : 0;
+  }
+  EXPECT_GE(established, 9);
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
--- a/src/decisions/scheduling/tests/late_calls_test.cc
+++ b/src/decisions/scheduling/tests/late_calls_test.cc
@@ -140,5 +140,41 @@
   EXPECT_LE(MostCopies(pool, 12s), 1);
 }
 
+// Guards against the same when the start is carried out only after the takeover.
+TEST(LateCallsTest, LateStartAfterATakeoverOnASilentRestartedExecutor) {
+  FakePool pool(2);
+  const StartOrder start = OrderOnFirst(pool);
+  FakeExecutor& executor = pool.executor("x0");
+  const int64_t lease = executor.ClockMs(pool.now() + 5s);
+  pool.scheduler().OnLeaseExtended(ExecutorId("x0"), pool.now());
+  pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
+  executor.Restart();
+  executor.reachable = false;
+  pool.Run(500ms);
+  pool.TakeOver();
+  pool.Run(9s);
+  executor.reachable = true;
+  ASSERT_EQ(executor.Start(start, {.fencing_token = 1, .lease_until_ms = lease}, pool.now()),
+            StartAnswer::kStarted);
+  executor.reachable = false;
+  EXPECT_LE(MostCopies(pool, 14s), 1);
+}
+
+// Guards against two runs at a time (TWICE): a start that was fenced is carried out by the next
+// incarnation, which has not been called with the token.
+TEST(LateCallsTest, FencedStartAfterARestart) {
+  FakePool pool(2);
+  const StartOrder start = OrderOnFirst(pool);
+  FakeExecutor& executor = pool.executor("x0");
+  pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
+  pool.scheduler().SetCordoned(ExecutorId("x0"), true);
+  pool.scheduler().SetCordoned(ExecutorId("x1"), false);
+  pool.Run(200ms);
+  ASSERT_EQ(pool.CopiesOf(kTask), 1);
+  executor.Restart();
+  static_cast<void>(executor.Start(start, 1, pool.now(), pool.now() + 5s));
+  EXPECT_LE(pool.CopiesOf(kTask), 1);
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
--- a/src/decisions/scheduling/tests/run_times_use_test.cc
+++ b/src/decisions/scheduling/tests/run_times_use_test.cc
@@ -205,6 +205,25 @@
   EXPECT_EQ(m_pool.starts[straggler], 1);
 }
 
+// Guards against the same for an executor that is silent: it may have listed the end in a response
+// that has not arrived.
+TEST_F(StragglerTest, NothingIsCopiedWithinItsLeaseForASilentExecutor) {
+  FakePool pool(2);
+  pool.Run(100ms);
+  pool.scheduler().SetCordoned(ExecutorId("x1"), true);
+  StepSpec step = MakeStep(1, 1000, 300ms);
+  step.copies_allowed = true;
+  const TaskId task{.job = JobId("b")};
+  pool.Submit(MakeJob("b", {step}));
+  pool.Run(200ms);
+  ASSERT_TRUE(pool.executor("x0").Runs(task));
+  pool.scheduler().SetCordoned(ExecutorId("x1"), false);
+  pool.call_timeout = 1600ms;
+  pool.executor("x0").reachable = false;
+  pool.Run(4s);
+  EXPECT_EQ(pool.starts[task], 1);
+}
+
 // A second run of a task may exist only where copies are allowed: a task may charge somebody.
 TEST_F(StragglerTest, TaskWithoutCopiesIsNeverCopied) {
   Warm(m_pool, 20);
--- a/src/decisions/scheduling/tests/unanswered_starts_test.cc
+++ b/src/decisions/scheduling/tests/unanswered_starts_test.cc
@@ -43,5 +43,24 @@
   EXPECT_LE(m_pool.most_copies, 1);
 }
 
+// Guards against a gang that waits for a member whose start had no response and was not carried out
+// (GANG): the other members end alone.
+TEST_F(UnansweredStartsTest, GangIsStoppedWhenAMemberCannotStart) {
+  StepSpec step = MakeStep(2, 3000, 60s);
+  step.gang_scheduled = true;
+  step.max_per_executor = 1;
+  m_pool.Submit(MakeJob("b", {step}));
+  const Orders orders = m_pool.scheduler().Plan(m_pool.now());
+  ASSERT_EQ(orders.starts.size(), 2u);
+  FakeExecutor& executor = m_pool.executor(orders.starts[0].executor.view());
+  ASSERT_EQ(executor.Start(orders.starts[0], 1, m_pool.now(), m_pool.now() + 5s),
+            StartAnswer::kStarted);
+  m_pool.scheduler().OnStartAnswer(orders.starts[0], StartAnswer::kStarted, m_pool.now());
+  m_pool.scheduler().OnStartAnswer(orders.starts[1], StartAnswer::kUnknown, m_pool.now());
+  m_pool.Run(500ms);
+  EXPECT_EQ(m_pool.starts[orders.starts[0].task], 1) << "the gang was not started again";
+  EXPECT_EQ(m_pool.starts[orders.starts[1].task], 1);
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
