Ask an executor after its lease before its tasks start elsewhere

Cause: an expired lease was taken as proof that a run had left no end, although the owner had let the lease run out itself and had been told of the end.

Change: runs are given up only when a call that was made after the bound of the lease has had no response. It is made directly, as soon as the bound has passed.

UnansweredStartsTest.ExecutorIsAskedAfterItsLeaseBeforeItsTasksStartElsewhere fails without the change: the task is started again while no call was made after the lease.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -219,9 +219,10 @@
 
 std::vector<SchedulerNote> PoolScheduler::TakeNotes() { return std::exchange(m_notes, {}); }
 
-void PoolScheduler::OnNoAnswer(const ExecutorId& id) {
+void PoolScheduler::OnNoAnswer(const ExecutorId& id, TimePoint called_at) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
+  executor->unanswered_call_at = called_at;
   if (!std::exchange(executor->contacted, true)) m_plan_needed = true;
   if (!executor->responding) return;
   executor->responding = false;
@@ -258,7 +259,10 @@
 
 void PoolScheduler::Advance(TimePoint now, int64_t unix_ms) {
   for (auto& [id, executor] : m_executors) {
-    if (!executor.responding && now >= executor.lease_bound) {
+    // The executor may have listed ends in a response that this owner was too slow to receive, so
+    // it is asked once more after its lease.
+    const bool asked = executor.unanswered_call_at >= executor.lease_bound;
+    if (!executor.responding && now >= executor.lease_bound && asked) {
       if (!executor.runs.empty()) AbandonRuns(executor);
       if (executor.inherited && !executor.reported) {
         executor.inherited = false;
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -167,7 +167,8 @@
   void OnReport(const ExecutorId& id, const ExecutorReport& report, int64_t fences,
                 TimePoint requested_at, TimePoint now);
   /// Records that an executor did not answer a call.
-  void OnNoAnswer(const ExecutorId& id);
+  /// @param called_at when the call was made.
+  void OnNoAnswer(const ExecutorId& id, TimePoint called_at);
   /// Records that a call with a new fencing token is sent to an executor. It gets no starts before
   /// its next report.
   void OnTokenBegun(const ExecutorId& id);
--- a/src/decisions/scheduling/tests/unanswered_starts_test.cc
+++ b/src/decisions/scheduling/tests/unanswered_starts_test.cc
@@ -62,5 +62,23 @@
   EXPECT_EQ(m_pool.starts[orders.starts[1].task], 1);
 }
 
+// Guards against starting a task again after its end (TWICE, kth-windhoek-grown in bursts): the
+// executor listed the end to a relay, whose result the overloaded owner did not wait for, and the
+// lease expired while the owner was slow.
+TEST_F(UnansweredStartsTest, ExecutorIsAskedAfterItsLeaseBeforeItsTasksStartElsewhere) {
+  m_pool.Submit(MakeJob("b", {MakeStep(1, 1000, 300ms)}));
+  m_pool.Run(60ms);
+  const std::string holder = first().Runs(kTask) ? "x0" : "x1";
+  PoolScheduler& scheduler = m_pool.scheduler();
+  scheduler.OnNoAnswer(ExecutorId(holder), m_pool.now());
+  m_pool.executor(holder).Advance(m_pool.now() + 1s);
+  scheduler.Advance(m_pool.now() + 6s, 0);
+  EXPECT_TRUE(scheduler.Plan(m_pool.now() + 6s).starts.empty()) << "the task was started again";
+  EXPECT_EQ(scheduler.FindExecutor(ExecutorId(holder))->runs.size(), 1u);
+  scheduler.OnNoAnswer(ExecutorId(holder), m_pool.now() + 6s);
+  scheduler.Advance(m_pool.now() + 7s, 0);
+  EXPECT_EQ(scheduler.Plan(m_pool.now() + 7s).starts.size(), 1u);
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -128,7 +128,8 @@
     if (terms.established()) m_owner.scheduler().OnLeaseExtended(m_id, asked_at);
     ExecutorAddress to = Address();
     // Another relay that does not answer would take up the rest of the lease.
-    if (std::exchange(relay_failed, false)) to.relay = EntryId();
+    const bool lease_over = !state->responding && asked_at >= state->lease_bound;
+    if (std::exchange(relay_failed, false) || lease_over) to.relay = EntryId();
     HoldResult result = co_await m_owner.context().platform.executors.Hold(std::move(to), call);
     if (ended.requested()) break;
     const TimePoint now = timers.Now();
@@ -154,7 +155,7 @@
         m_session.OnUnanswered();
         // A kept-alive connection that closes does not tell that the executor is gone.
         if (terms.established() && now - asked_at < kHoldTimeout) continue;
-        m_owner.scheduler().OnNoAnswer(m_id);
+        m_owner.scheduler().OnNoAnswer(m_id, asked_at);
         break;
       case HoldOutcome::kRelayFailed:
         // Recorded before the terms of the repetition are made: the executor may have restarted
@@ -168,7 +169,12 @@
         continue;
     }
     m_owner.ProcessUpdates();
-    co_await SleepFor(timers, backoff.Next(), &ended);
+    // The call that decides whether its runs are given up is made as soon as the lease is over.
+    const ExecutorState* silent = m_owner.scheduler().FindExecutor(m_id);
+    const Duration lease_left = silent ? silent->lease_bound - timers.Now() : Duration::zero();
+    Duration pause = backoff.Next();
+    if (lease_left > Duration::zero()) pause = std::min(pause, lease_left);
+    co_await SleepFor(timers, pause, &ended);
   }
   for (Mailbox<QueuedOrder>& queue : m_orders) queue.Close();
 }
