Remove a race from two tests of late relayed calls

FirstCallThatArrivesLateIsNotSent and HoldThatArrivesLateIsNotSent failed at times beside load. Cause: the test blocked the event loop only after it had seen that the message was sent. By the code, a first batch that is slow by more than 200 ms would have hidden enough of the pause to fail as well, since the relay measures transit relative to it.

Change: both tests use simulated time and move to the fixture RelayLateCallTest. The message is sent by advancing the timers, without processing events, and the pause follows before the relay can receive anything. No time passes while the first batch is in transit. The expectations of both tests are unchanged, and the fixture also checks that the message was sent and not received before the pause.

--- a/src/fleet/tests/fleet_fixture.h
+++ b/src/fleet/tests/fleet_fixture.h
@@ -17,7 +17,10 @@
 /// Provides the context of an entry with an in-memory store. The other platform services are stubs.
 class FleetTest : public ::testing::Test {
  protected:
-  FleetTest() { TestApplication(); }
+  explicit FleetTest(std::unique_ptr<TimerService> timers = MakeQtTimerService())
+      : m_timers(std::move(timers)) {
+    TestApplication();
+  }
 
   /// Processes events until a task has ended.
   /// @return the result of the task.
@@ -102,7 +105,7 @@
     http::Response EncodeError(const CallError&) const override { return {}; }
   };
 
-  std::unique_ptr<TimerService> m_timers = MakeQtTimerService();
+  const std::unique_ptr<TimerService> m_timers;
   Metrics m_metrics;
   FleetOptions m_options{.name = "entry-1", .incarnation = "life-1"};
   FakeRowStore m_rows;
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -5,6 +5,7 @@
 #include "fleet/relay/relay_client.h"
 #include "fleet/relay/relay_server.h"
 #include "fleet/tests/fleet_fixture.h"
+#include "supervision/timer_queue.h"
 
 namespace citronferry::fleet {
 namespace {
@@ -58,7 +59,8 @@
 
 class RelayTest : public FleetTest {
  protected:
-  RelayTest() {
+  explicit RelayTest(std::unique_ptr<TimerService> timers = MakeQtTimerService())
+      : FleetTest(std::move(timers)) {
     m_options.relay_listener = {.address = "127.0.0.1", .port = m_port};
     StartServer();
   }
@@ -112,20 +114,6 @@
     return Await(m_client.Start(m_to, call));
   }
 
-  /// Makes a hold through the relay whose message arrives only after a pause of the relay.
-  /// @param pause blocks the event loop, which the relay shares, after the message was sent.
-  HoldResult HoldBeforeAPause(const HoldCall& call, Duration pause) {
-    std::optional<HoldResult> result;
-    TaskScope scope;
-    const double sent_before = SentBytes();
-    scope.Spawn([&]() -> QCoro::Task<void> { result = co_await m_client.Hold(m_to, call); });
-    EXPECT_TRUE(ProcessEventsUntil([&] { return SentBytes() > sent_before; }));
-    EXPECT_EQ(m_behind.holds, 0);
-    std::this_thread::sleep_for(pause);
-    EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
-    return std::move(*result);
-  }
-
   double SentBytes() {
     return m_client_metrics
         .Counter("citronferry_peer_sent_bytes_total",
@@ -254,32 +242,6 @@
   StartServer();
 }
 
-// Guards against ends that are lost (TWICE): a relay that was paused must not carry out a hold that
-// the owner decided on long before, since the executor may have restarted meanwhile.
-TEST_F(RelayTest, HoldThatArrivesLateIsNotSent) {
-  Connect();
-  EXPECT_EQ(Start(Order(0)), StartAnswer::kStarted);  // Shows how long a message takes.
-  const HoldCall call{.lease_until_ms = 5000,
-                      .fencing_token = 9,
-                      .acknowledged_end = 57,
-                      .wait = 1s,
-                      .timeout = 600ms};
-  const HoldResult result = HoldBeforeAPause(call, 1200ms);
-  EXPECT_EQ(result.outcome, HoldOutcome::kRelayFailed);
-  EXPECT_EQ(m_behind.holds, 0);
-  EXPECT_TRUE(m_client.IsOpen(m_relay)) << "the relay has given a result";
-}
-
-// Guards against a late call that passes for a timely one because it is the first on its
-// connection: the relay must know how long a message takes before the owner makes a call.
-TEST_F(RelayTest, FirstCallThatArrivesLateIsNotSent) {
-  Connect();
-  const HoldCall call{
-      .lease_until_ms = 5000, .fencing_token = 9, .acknowledged_end = 57, .timeout = 1600ms};
-  EXPECT_EQ(HoldBeforeAPause(call, 1200ms).outcome, HoldOutcome::kRelayFailed);
-  EXPECT_EQ(m_behind.holds, 0);
-}
-
 // Guards against a late call that passes for a timely one because the owner was paused between its
 // decision and the message.
 TEST_F(RelayTest, CallOfAnOwnerThatWasPausedIsNotSent) {
@@ -336,6 +298,86 @@
   EXPECT_EQ(m_behind.payloads.size(), 2u);
 }
 
+/// Uses simulated time, so that a pause always falls between the sending and the receipt of a
+/// message, and the transit times that the relay measures do not depend on the load of the machine.
+class RelayLateCallTest : public RelayTest {
+ protected:
+  RelayLateCallTest()
+      : RelayTest(std::make_unique<ManualTimerService>()),
+        m_time(static_cast<ManualTimerService&>(*m_timers)) {}
+
+  /// Connects to the relay. No time passes while the first batch is in transit.
+  void Connect() {
+    UseRelay();
+    ASSERT_TRUE(ProcessEventsUntil([&] {
+      if (SentBytes() == 0) m_time.Advance(kRetryInterval);
+      return m_client.IsOpen(m_relay);
+    }));
+  }
+
+  /// Makes a call through the relay whose message is sent before a pause of the process and
+  /// received after it. No events are processed until the pause has ended.
+  template <typename T>
+  T CallBeforePause(QCoro::Task<T> call, Duration pause) {
+    std::optional<T> result;
+    TaskScope scope;
+    const double sent_before = SentBytes();
+    const double received_before = ReceivedBytes();
+    scope.Spawn([&]() -> QCoro::Task<void> { result.emplace(co_await call); });
+    m_time.Advance(kFlushTime);
+    EXPECT_GT(SentBytes(), sent_before);
+    EXPECT_EQ(ReceivedBytes(), received_before);
+    m_time.Pause(pause);
+    EXPECT_TRUE(ProcessEventsUntil([&] { return ReceivedBytes() > received_before; }));
+    m_time.Advance(kFlushTime);
+    EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+    return std::move(*result);
+  }
+
+  double ReceivedBytes() {
+    return m_metrics
+        .Counter("citronferry_peer_received_bytes_total", "Bytes of messages received from peers.")
+        .Value();
+  }
+
+  // Interval at which a session that is not open tries to send its first batch.
+  static constexpr Duration kRetryInterval = 300ms;
+  // Longer than the delay with which the owner sends calls and the relay sends results.
+  static constexpr Duration kFlushTime = 10ms;
+
+  ManualTimerService& m_time;
+};
+
+// Guards against ends that are lost (TWICE): a relay that was paused must not carry out a hold that
+// the owner decided on long before, since the executor may have restarted meanwhile.
+TEST_F(RelayLateCallTest, HoldThatArrivesLateIsNotSent) {
+  Connect();
+  const scheduling::StartOrder order = Order(0);
+  const StartCall start{
+      .order = order, .lease_until_ms = 5000, .fencing_token = 9, .timeout = 400ms};
+  // Shows how long a message takes.
+  EXPECT_EQ(CallBeforePause(m_client.Start(m_to, start), 0ms), StartAnswer::kStarted);
+  const HoldCall call{.lease_until_ms = 5000,
+                      .fencing_token = 9,
+                      .acknowledged_end = 57,
+                      .wait = 1s,
+                      .timeout = 600ms};
+  const HoldResult result = CallBeforePause(m_client.Hold(m_to, call), 1200ms);
+  EXPECT_EQ(result.outcome, HoldOutcome::kRelayFailed);
+  EXPECT_EQ(m_behind.holds, 0);
+  EXPECT_TRUE(m_client.IsOpen(m_relay)) << "the relay has given a result";
+}
+
+// Guards against a late call that passes for a timely one because it is the first on its
+// connection: the relay must know how long a message takes before the owner makes a call.
+TEST_F(RelayLateCallTest, FirstCallThatArrivesLateIsNotSent) {
+  Connect();
+  const HoldCall call{
+      .lease_until_ms = 5000, .fencing_token = 9, .acknowledged_end = 57, .timeout = 1600ms};
+  EXPECT_EQ(CallBeforePause(m_client.Hold(m_to, call), 1200ms).outcome, HoldOutcome::kRelayFailed);
+  EXPECT_EQ(m_behind.holds, 0);
+}
+
 // Guards against a relay that was suspended and then acts on old orders: the time in transit is
 // estimated from the fastest message, whatever the offset of the two clocks.
 TEST(TransitClockTest, DelayBeyondTheFastestMessageIsSeen) {
