--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -51,14 +51,27 @@
   bool listed = false;        ///< It is in the registry.
   bool link_durable = false;  ///< A successor finds its link; required before the first order.
   bool reported = false;      ///< Its known incarnation has sent a report to this owner.
-  /// A call to a previous incarnation may extend the lease of this one, on the wrong clock.
+  /// A call to a previous incarnation may extend the lease of this one, on the wrong clock, until
+  /// this one has a token of its own.
   bool lease_uncertain = false;
+  /// Number of times that the owner has asked for earlier calls to be rejected. ExecutorSession
+  /// begins a fencing token for each.
+  int64_t fences = 0;
+  /// Value of fences from which on the executor may be given starts, leases and acknowledgements.
+  int64_t required_fences = 0;
+  int64_t answered_fences = 0;  ///< Value of fences for the token of its last report.
+  bool awaits_token = false;    ///< It has not answered a call with its new token yet.
   /// When this owner learned of the known incarnation, if it is not the first one.
   TimePoint incarnation_known_at{};
-  bool responding = false;  ///< It answered the last call.
-  bool contacted = false;   ///< This owner has called it, whether or not it answered.
-  bool inherited = false;   ///< A previous owner may have started tasks on it.
-  bool cordoned = false;    ///< No new tasks: it is drained for maintenance or a move.
+  TimePoint report_requested_at{};  ///< When its last report was requested.
+  TimePoint unanswered_call_at{};   ///< When the last call without a response was made.
+  bool report_wanted = false;       ///< The next report is to be returned without waiting.
+  bool responding = false;          ///< It answered the last call.
+  bool contacted = false;           ///< This owner has called it, whether or not it answered.
+  /// A previous owner may have acknowledged ends of the known incarnation.
+  bool taken_over = false;
+  bool inherited = false;  ///< A previous owner may have started tasks on it.
+  bool cordoned = false;   ///< No new tasks: it is drained for maintenance or a move.
   std::optional<TimePoint> unlisted_since;
   std::optional<TimePoint> listed_at;
   std::vector<int64_t> past_incarnations;  ///< Start times of those that have ended.
--- a/src/decisions/scheduling/internal/handover.cc
+++ b/src/decisions/scheduling/internal/handover.cc
@@ -54,7 +54,9 @@
     executor->info.id = record.executor;
     executor->info.incarnation_unix_ms =
         std::max(executor->info.incarnation_unix_ms, record.incarnation_unix_ms);
-    executor->lease_bound = now + std::min(record.lease_left, m_options.longest_lease_bound);
+    executor->lease_bound = now + std::min(record.lease_left, m_options.late_call_window +
+                                                                  m_options.longest_lease_bound);
+    executor->taken_over = true;
     executor->inherited = record.unresolved;
     for (const HandedOverRun& run : record.runs) RestoreRun(*executor, run);
   }
@@ -72,6 +74,7 @@
                .phase = run.confirmed ? RunPhase::kRunning : RunPhase::kOrdered,
                .ordered_at = now,
                .copy_outstanding = run.copy_outstanding,
+               .fence = 0,  // The token of each owner is higher than those of its predecessors.
                .listed = run.listed,
                .percent_changed_at = now,
                .adopted = true};
@@ -82,8 +85,6 @@
     restored.phase = RunPhase::kStopping;
   } else if (run.confirmed) {
     restored.confirmed_at = now;
-  } else {
-    restored.unanswered_at = now;
   }
   task->runs.push_back(std::move(restored));
   executor.runs.push_back({.job = job, .task = run.task, .run = run.run});
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -118,9 +118,13 @@
   executor.info.incarnation_unix_ms = link.incarnation_unix_ms;
   executor.applied_end = link.applied_end;
   executor.durable_end = link.applied_end;
-  executor.inherited = true;
+  executor.taken_over = executor.inherited = true;
   executor.link_durable = true;
-  executor.lease_bound = m_options.taken_over_at + m_options.lease_bound;
+  // Whether a restarted executor has answered with its token is not known.
+  executor.lease_bound =
+      m_options.taken_over_at + (link.restarted
+                                     ? m_options.late_call_window + m_options.longest_lease_bound
+                                     : m_options.lease_bound);
 }
 
 void PoolScheduler::ListExecutor(const ExecutorDescription& info, TimePoint now) {
@@ -138,12 +142,14 @@
   const std::vector<int64_t>& past = executor.past_incarnations;
   const bool outdated = std::find(past.begin(), past.end(), incarnation) != past.end();
   if (incarnation < known_incarnation || outdated) return;
-  if (incarnation > known_incarnation && known_incarnation != 0) {
+  // The past incarnations that a previous owner has met are not known, so its report decides.
+  const bool undecided = executor.taken_over && !executor.reported && known_incarnation != 0;
+  if (incarnation > known_incarnation && known_incarnation != 0 && !undecided) {
     OnRestarted(executor, incarnation, now);
   }
   const bool started_leaving = info.leaving && !executor.info.leaving;
   executor.info = info;
-  executor.info.incarnation_unix_ms = incarnation;
+  executor.info.incarnation_unix_ms = undecided ? known_incarnation : incarnation;
   if (!executor.listed_at) executor.listed_at = now;
   if (!executor.link_durable) {
     m_dirty_links.insert(info.id);
@@ -213,20 +219,26 @@
 
 std::vector<SchedulerNote> PoolScheduler::TakeNotes() { return std::exchange(m_notes, {}); }
 
-void PoolScheduler::OnNoAnswer(const ExecutorId& id) {
+void PoolScheduler::OnNoAnswer(const ExecutorId& id, TimePoint called_at) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
+  executor->unanswered_call_at = called_at;
   if (!std::exchange(executor->contacted, true)) m_plan_needed = true;
   if (!executor->responding) return;
   executor->responding = false;
   Note("executor_silent", {}, 0, id, DescribeEnds(*executor));
 }
 
+void PoolScheduler::OnTokenBegun(const ExecutorId& id) {
+  if (ExecutorState* executor = FindExecutor(id)) executor->awaits_token = true;
+}
+
 void PoolScheduler::OnExecutorGone(const ExecutorId& id, TimePoint now) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
   Note("executor_gone", {}, 0, id);
   DropAllRuns(*executor, "executor_gone");
+  executor->required_fences = ++executor->fences;
   executor->responding = false;
   executor->listed = false;
   executor->inherited = false;
@@ -236,14 +248,21 @@
 
 void PoolScheduler::OnLeaseExtended(const ExecutorId& id, TimePoint now) {
   if (ExecutorState* executor = FindExecutor(id)) {
-    executor->lease_bound = std::max(executor->lease_bound, now + m_options.lease_bound);
-    executor->lease_uncertain = false;
+    const bool uncertain = std::exchange(executor->lease_uncertain, false);
+    const TimePoint bound = now + m_options.lease_bound;
+    // A call to the previous incarnation can have extended the lease until now, but no later.
+    executor->lease_bound =
+        uncertain ? now + std::max(m_options.longest_lease_bound, m_options.lease_bound)
+                  : std::max(executor->lease_bound, bound);
   }
 }
 
 void PoolScheduler::Advance(TimePoint now, int64_t unix_ms) {
   for (auto& [id, executor] : m_executors) {
-    if (!executor.responding && now >= executor.lease_bound) {
+    // The executor may have listed ends in a response that this owner was too slow to receive, so
+    // it is asked once more after its lease.
+    const bool asked = executor.unanswered_call_at >= executor.lease_bound;
+    if (!executor.responding && now >= executor.lease_bound && asked) {
       if (!executor.runs.empty()) AbandonRuns(executor);
       if (executor.inherited && !executor.reported) {
         executor.inherited = false;
@@ -253,6 +272,7 @@
       continue;
     }
     RetryStops(executor, now);
+    FenceLateStarts(executor, now);
     if (executor.info.leaving) EvictLongRunningTasks(id, now);
   }
   for (const JobId& id : m_open_jobs) {
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -1,6 +1,7 @@
 // PoolScheduler: processes executors' reports, which list ended and active runs. Adopts runs of
 // previous owners and detects runs that are stuck or missing.
 #include <algorithm>
+#include <utility>
 
 #include "decisions/scheduling/pool_scheduler.h"
 
@@ -46,7 +47,7 @@
 
 }  // namespace
 
-void PoolScheduler::OnReport(const ExecutorId& id, const ExecutorReport& report,
+void PoolScheduler::OnReport(const ExecutorId& id, const ExecutorReport& report, int64_t fences,
                              TimePoint requested_at, TimePoint now) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
@@ -70,13 +71,18 @@
   for (const ActiveRun& active : report.active) ApplyActive(*executor, active, now);
   PaceBestEffortTasks(*executor);
   if (report.ended.size() < kMaxListedEnds)
-    RemoveVanishedRuns(*executor, report, requested_at, now);
+    RemoveVanishedRuns(*executor, report, fences, requested_at, now);
 
-  if (!executor->responding) Note("executor_in_touch", {}, 0, id, DescribeEnds(*executor));
-  if (!executor->responding || !executor->reported) m_plan_needed = true;
-  if (executor->lease_uncertain) {
-    executor->lease_bound = std::max(executor->lease_bound, now + m_options.longest_lease_bound);
+  if (!executor->responding) {
+    Note("executor_in_touch", {}, 0, id,
+         DescribeEnds(*executor) + ", lease bound " +
+             std::to_string(ToMilliseconds(now - executor->lease_bound)) + " ms ago");
   }
+  if (!executor->responding || !executor->reported) m_plan_needed = true;
+  executor->report_requested_at = requested_at;
+  executor->answered_fences = fences;
+  if (std::exchange(executor->awaits_token, false)) m_plan_needed = true;
+  if (std::exchange(executor->report_wanted, false)) m_seek_stragglers = m_plan_needed = true;
   executor->responding = executor->contacted = true;
   executor->reported = true;
 }
@@ -85,8 +91,10 @@
   const auto next = std::find_if(ended.begin(), ended.end(), [&](const EndedRun& end) {
     return end.number > executor.applied_end;
   });
-  // The first report to an owner lists what its predecessor has not acknowledged.
-  if (next == ended.end() || !executor.reported || next->number == executor.applied_end + 1) return;
+  // What a predecessor has acknowledged is not known until the first end is applied.
+  if (next == ended.end() || (executor.taken_over && executor.applied_end == 0) ||
+      next->number == executor.applied_end + 1)
+    return;
   Note("ends_missed", {}, 0, executor.info.id,
        std::to_string(executor.applied_end + 1) + " to " + std::to_string(next->number - 1));
 }
@@ -218,6 +226,8 @@
     return;
   }
   run->listed = true;
+  run->fence_at.reset();
+  task->unanswered_starts = 0;
   if (run->phase == RunPhase::kOrdered) {
     run->phase = RunPhase::kRunning;
     run->confirmed_at = now;
@@ -313,25 +323,25 @@
 }
 
 void PoolScheduler::RemoveVanishedRuns(ExecutorState& executor, const ExecutorReport& report,
-                                       TimePoint requested_at, TimePoint now) {
+                                       int64_t fences, TimePoint requested_at, TimePoint now) {
   for (const RunRef& ref : std::vector<RunRef>(executor.runs)) {
-    Run* run = FindRun(ref.task, ref.run, executor.info.id);
     const bool listed = std::any_of(
         report.active.begin(), report.active.end(),
         [&](const ActiveRun& active) { return active.run == ref.run && active.task == ref.task; });
     if (listed) continue;
-    if (run && run->phase == RunPhase::kOrdered && run->unanswered_at &&
-        *run->unanswered_at < requested_at) {
-      OrderStop(ref.task, *run, "start unanswered", now);
-      continue;
-    }
     // If the occurrence has ended, the run exists in the executor's list only.
-    const bool gone = !run || (run->confirmed_at && *run->confirmed_at < requested_at);
-    if (!gone) continue;
-    if (run && run->phase == RunPhase::kRunning) {
-      Note("run_vanished", ref.task, ref.run, executor.info.id);
+    bool never_began = false;
+    if (const Run* run = FindRun(ref.task, ref.run, executor.info.id)) {
+      const bool fenced = run->fence && *run->fence <= fences;
+      const bool confirmed = run->confirmed_at && *run->confirmed_at < requested_at;
+      if (!fenced && !confirmed) continue;
+      never_began = fenced && run->phase == RunPhase::kOrdered;
+      if (run->phase != RunPhase::kStopping) {
+        Note(confirmed ? "run_vanished" : "start_fenced", ref.task, ref.run, executor.info.id);
+      }
     }
     RemoveRun(ref.task, ref.run, executor);
+    if (never_began) StopIncompleteGang(*ref.job, ref.task, now);
   }
 }
 
--- a/src/decisions/scheduling/tests/run_times_use_test.cc
+++ b/src/decisions/scheduling/tests/run_times_use_test.cc
@@ -191,6 +191,39 @@
   EXPECT_EQ(m_pool.CopiesOf(straggler), 0) << "the overtaken run is stopped";
 }
 
+// Guards against a copy of a task whose end its executor has listed (TWICE): the report takes
+// seconds to reach the owner, which takes the run for a straggler meanwhile.
+TEST_F(StragglerTest, NothingIsCopiedOnAnOldReport) {
+  Warm(m_pool, 20, true);
+  const TaskId straggler = SubmitStraggler("straggler", true);
+  m_pool.Run(100ms);
+  m_pool.call_timeout = 5s;
+  for (auto& [id, executor] : m_pool.executors()) {
+    if (executor.Runs(straggler)) executor.reachable = false;
+  }
+  m_pool.Run(4s);
+  EXPECT_EQ(m_pool.starts[straggler], 1);
+}
+
+// Guards against the same for an executor that is silent: it may have listed the end in a response
+// that has not arrived.
+TEST_F(StragglerTest, NothingIsCopiedWithinItsLeaseForASilentExecutor) {
+  FakePool pool(2);
+  pool.Run(100ms);
+  pool.scheduler().SetCordoned(ExecutorId("x1"), true);
+  StepSpec step = MakeStep(1, 1000, 300ms);
+  step.copies_allowed = true;
+  const TaskId task{.job = JobId("b")};
+  pool.Submit(MakeJob("b", {step}));
+  pool.Run(200ms);
+  ASSERT_TRUE(pool.executor("x0").Runs(task));
+  pool.scheduler().SetCordoned(ExecutorId("x1"), false);
+  pool.call_timeout = 1600ms;
+  pool.executor("x0").reachable = false;
+  pool.Run(4s);
+  EXPECT_EQ(pool.starts[task], 1);
+}
+
 // A second run of a task may exist only where copies are allowed: a task may charge somebody.
 TEST_F(StragglerTest, TaskWithoutCopiesIsNeverCopied) {
   Warm(m_pool, 20);
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -85,6 +85,7 @@
     if (!state) co_return;
     const bool awaits_commit = m_session.AwaitsCommit(*state, m_owner.newest_version());
     if (state->durable_end >= state->applied_end && !awaits_commit) co_return;
+    if (awaits_commit) m_owner.RequestCommit();
     co_await m_commits.Next(timers, deadline - timers.Now());
   }
 }
@@ -113,24 +114,28 @@
     const TimePoint asked_at = timers.Now();
     // The lease of an unresponsive executor is not extended, so that its runs can be replaced once
     // the lease has expired.
+    const int64_t token = m_session.fencing_token();
     const scheduling::HoldTerms terms =
         m_session.MakeHold(*state, m_owner.newest_version(), asked_at);
+    if (terms.fencing_token != token) m_owner.scheduler().OnTokenBegun(m_id);
+    const bool may_wait = terms.established() && !state->report_wanted;
     const HoldCall call{.lease_until_ms = terms.lease_until_ms,
                         .fencing_token = terms.fencing_token,
                         .acknowledged_end = terms.acknowledged_end,
-                        .wait = terms.established() ? kHoldWait : Duration::zero(),
+                        .wait = may_wait ? kHoldWait : Duration::zero(),
                         .timeout = kHoldTimeout,
                         .abort = &ended};
     if (terms.established()) m_owner.scheduler().OnLeaseExtended(m_id, asked_at);
     ExecutorAddress to = Address();
     // Another relay that does not answer would take up the rest of the lease.
-    if (std::exchange(relay_failed, false)) to.relay = EntryId();
+    const bool lease_over = !state->responding && asked_at >= state->lease_bound;
+    if (std::exchange(relay_failed, false) || lease_over) to.relay = EntryId();
     HoldResult result = co_await m_owner.context().platform.executors.Hold(std::move(to), call);
     if (ended.requested()) break;
     const TimePoint now = timers.Now();
     switch (result.outcome) {
       case HoldOutcome::kReported:
-        m_owner.scheduler().OnReport(m_id, result.report, asked_at, now);
+        m_owner.scheduler().OnReport(m_id, result.report, terms.fences, asked_at, now);
         m_session.OnReport(terms, result.report, now);
         backoff.Reset();
         m_owner.ProcessUpdates();
@@ -150,7 +155,7 @@
         m_session.OnUnanswered();
         // A kept-alive connection that closes does not tell that the executor is gone.
         if (terms.established() && now - asked_at < kHoldTimeout) continue;
-        m_owner.scheduler().OnNoAnswer(m_id);
+        m_owner.scheduler().OnNoAnswer(m_id, asked_at);
         break;
       case HoldOutcome::kRelayFailed:
         // Recorded before the terms of the repetition are made: the executor may have restarted
@@ -164,7 +169,12 @@
         continue;
     }
     m_owner.ProcessUpdates();
-    co_await SleepFor(timers, backoff.Next(), &ended);
+    // The call that decides whether its runs are given up is made as soon as the lease is over.
+    const ExecutorState* silent = m_owner.scheduler().FindExecutor(m_id);
+    const Duration lease_left = silent ? silent->lease_bound - timers.Now() : Duration::zero();
+    Duration pause = backoff.Next();
+    if (lease_left > Duration::zero()) pause = std::min(pause, lease_left);
+    co_await SleepFor(timers, pause, &ended);
   }
   for (Mailbox<QueuedOrder>& queue : m_orders) queue.Close();
 }
@@ -187,7 +197,7 @@
     const ExecutorState* state = m_owner.scheduler().FindExecutor(m_id);
     if (!state || !m_owner.scheduler().IsWanted(order) || !m_owner.may_order()) break;
     const auto terms = m_session.MakeStart(*state, now);
-    if (!terms || now - queued_at > kMaxOrderAge) break;
+    if (!terms || now - queued_at > kMaxOrderAge || now > order.send_before.value_or(now)) break;
     m_owner.scheduler().OnLeaseExtended(m_id, now);
     const StartCall call{.order = order,
                          .lease_until_ms = terms->lease_until_ms,
