--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -36,7 +36,8 @@
   /// The same for the longest lease that an executor accepts. A call that reckons a lease on the
   /// clock of a previous incarnation gives the next one at most this.
   Duration longest_lease_bound = 10'500ms;
-  /// Time in which a call without a response may still be carried out.
+  /// Time in which a call without a response may still be carried out: the platform's executors do
+  /// so up to 12 s late.
   Duration late_call_window = 12s;
   Duration final_retention = 130s;  ///< How long jobs are kept in a final state.
   /// Bytes per second that start orders may take on the owner's link.
