--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -45,6 +45,22 @@
          answer == StartAnswer::kOtherExecutor;
 }
 
+std::string_view NameOf(HoldOutcome outcome) {
+  switch (outcome) {
+    case HoldOutcome::kReported:
+      return "reported";
+    case HoldOutcome::kFenced:
+      return "fenced";
+    case HoldOutcome::kOtherExecutor:
+      return "other executor";
+    case HoldOutcome::kNoAnswer:
+      return "no answer";
+    case HoldOutcome::kRelayFailed:
+      return "relay failed";
+  }
+  return "";
+}
+
 }  // namespace
 
 ExecutorLink::ExecutorLink(PoolOwner& owner, scheduling::ExecutorId id)
@@ -130,13 +146,17 @@
                         .wait = may_wait ? kHoldWait : Duration::zero(),
                         .timeout = lease_over && state->listed ? kLastHoldTimeout : kHoldTimeout,
                         .abort = &ended};
-    if (terms.established()) m_owner.scheduler().OnLeaseExtended(m_id, asked_at);
+    if (terms.established()) {
+      m_owner.scheduler().OnLeaseExtended(m_id, asked_at);
+      m_lease_sent_at = asked_at;
+    }
     ExecutorAddress to = Address();
     // Another relay that does not answer would take up the rest of the lease.
     if (std::exchange(relay_failed, false) || lease_over) to.relay = EntryId();
     HoldResult result = co_await m_owner.context().platform.executors.Hold(std::move(to), call);
     if (ended.requested()) break;
     const TimePoint now = timers.Now();
+    if (lease_over) LogHoldAfterLease(result, asked_at);
     switch (result.outcome) {
       case HoldOutcome::kReported:
         m_owner.scheduler().OnReport(m_id, result.report, terms.fences, asked_at, now);
@@ -183,6 +203,19 @@
   for (Mailbox<QueuedOrder>& queue : m_orders) queue.Close();
 }
 
+void ExecutorLink::LogHoldAfterLease(const HoldResult& result, TimePoint asked_at) const {
+  const TimePoint now = m_owner.context().timers.Now();
+  const ExecutorState* state = m_owner.scheduler().FindExecutor(m_id);
+  Log(LogLevel::kInfo, "hold_after_lease",
+      {{"pool", m_owner.pool().view()},
+       {"executor", m_id.view()},
+       {"outcome", NameOf(result.outcome)},
+       {"error", result.error},
+       {"duration_ms", ToMilliseconds(now - asked_at)},
+       {"lease_sent_ms_ago", m_lease_sent_at ? ToMilliseconds(now - *m_lease_sent_at) : -1},
+       {"listed", state && state->listed}});
+}
+
 void ExecutorLink::OnSilence(TimePoint asked_at, bool waited) {
   const ExecutorState* state = m_owner.scheduler().FindExecutor(m_id);
   // A call that fails early may not have been sent, for example because all connections are in use.
--- a/src/fleet/pool/internal/executor_link.h
+++ b/src/fleet/pool/internal/executor_link.h
@@ -59,6 +59,8 @@
   /// Records that a hold had no response.
   /// @param waited whether the time for the response has passed.
   void OnSilence(TimePoint asked_at, bool waited);
+  /// Logs the result of a hold that decides whether the runs of a silent executor are given up.
+  void LogHoldAfterLease(const HoldResult& result, TimePoint asked_at) const;
   ExecutorAddress Address() const { return {.id = m_id, .address = m_address, .relay = m_relay}; }
   /// Waits until the ended runs that were reported are durable, and until a new incarnation can be
   /// given a fencing token.
@@ -69,6 +71,7 @@
   std::string m_address;
   EntryId m_relay;
   scheduling::ExecutorSession m_session;
+  std::optional<TimePoint> m_lease_sent_at;  // When the last hold with a lease was sent.
   int m_running_tasks = 0;
   std::array<Mailbox<QueuedOrder>, kRelayedOrders> m_orders;
   struct Committed {};  // Event without data.
