Show that calls cross a restart of an executor on a new connection

Callers saw tasks run twice. A start and a hold that were decided on for the previous incarnation are sent on a new connection and carried out by the next one, which knows no fencing token yet. The address of a call names the incarnation now, which nothing uses so far.

--- a/src/fleet/interfaces/executors.h
+++ b/src/fleet/interfaces/executors.h
@@ -19,6 +19,10 @@
   scheduling::ExecutorId id;
   std::string address;  ///< IP address and port.
   EntryId relay;  ///< Entry that makes the call, if it can be reached; empty for a direct call.
+  /// Start time of the incarnation that the call is meant for. An executor that restarts keeps its
+  /// id and address, so starts, leases and acknowledgements are sent only where this incarnation
+  /// has answered before. Nothing: any incarnation.
+  std::optional<int64_t> incarnation_unix_ms;
 };
 
 /// Long poll for the runs of an executor, which also extends the lease of all of them.
--- /dev/null
+++ b/src/platform/tests/executors_test.cc
@@ -0,0 +1,169 @@
+// Calls to executors that restart under their id, over real connections.
+#include "platform/internal/executors.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/server.h"
+#include "json/reader.h"
+#include "supervision/task_scope.h"
+#include "supervision/testing/event_loop.h"
+
+namespace citronferry::platform {
+namespace {
+
+using fleet::HoldCall;
+using fleet::HoldOutcome;
+using fleet::HoldResult;
+using scheduling::StartAnswer;
+
+constexpr int64_t kFirstIncarnation = 1000;
+constexpr int64_t kSecondIncarnation = 2000;
+
+/// An executor on a real socket, which each incarnation binds anew.
+class ExecutorProcess {
+ public:
+  struct ReceivedCall {
+    int64_t incarnation = 0;  ///< Which received it.
+    std::string path;
+    std::string body;
+  };
+
+  ExecutorProcess() : m_timers(MakeQtTimerService()) {}
+  ~ExecutorProcess() { Stop(); }
+
+  /// Ends the present incarnation, with its connections, and starts the next one.
+  void Run(int64_t incarnation) {
+    Stop();
+    m_incarnation = incarnation;
+    m_server = std::make_unique<http::Server>(
+        *m_timers,
+        http::ServerOptions{.address = QHostAddress(QHostAddress::LocalHost),
+                            .port = m_port,
+                            .drain_timeout = Duration::zero()},
+        [this](http::Request request) -> QCoro::Task<http::Response> {
+          co_return Answer(request);
+        });
+    ASSERT_TRUE(m_server->Listen().ok());
+    m_port = m_server->port();
+    m_tasks.Spawn([server = m_server.get()]() -> QCoro::Task<void> {
+      static_cast<void>(co_await server->Run());
+    });
+  }
+
+  fleet::ExecutorAddress address(std::optional<int64_t> incarnation) const {
+    return {.id = scheduling::ExecutorId("x"),
+            .address = "127.0.0.1:" + std::to_string(m_port),
+            .incarnation_unix_ms = incarnation};
+  }
+  int CountOf(std::string_view path) const {
+    return static_cast<int>(std::count_if(
+        calls.begin(), calls.end(), [&](const ReceivedCall& call) { return call.path == path; }));
+  }
+
+  std::vector<ReceivedCall> calls;
+
+ private:
+  http::Response Answer(const http::Request& request) {
+    calls.push_back(
+        {.incarnation = m_incarnation, .path = request.path, .body = request.body.toStdString()});
+    const std::string report = R"({"clockMs":5,"born":)" + std::to_string(m_incarnation) + "}";
+    return {.body = QByteArray::fromStdString(request.path == "/v1/hold" ? report
+                                                                         : R"({"clockMs":5})")};
+  }
+
+  void Stop() {
+    if (!m_server) return;
+    m_server->Stop();
+    EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
+    m_server.reset();
+  }
+
+  std::unique_ptr<TimerService> m_timers;
+  TaskScope m_tasks;
+  std::unique_ptr<http::Server> m_server;
+  quint16 m_port = 0;
+  int64_t m_incarnation = 0;
+};
+
+class ExecutorCallsTest : public ::testing::Test {
+ protected:
+  ExecutorCallsTest() {
+    TestApplication();
+    m_process.Run(kFirstIncarnation);
+  }
+
+  StartAnswer Start(std::optional<int64_t> incarnation) {
+    const scheduling::StartOrder order{.executor = scheduling::ExecutorId("x"),
+                                       .task = {.job = JobId("5c0e7a21d94b36f8")},
+                                       .run = 1,
+                                       .definition = std::make_shared<scheduling::JobDefinition>(
+                                           scheduling::JobDefinition{.payload = "p"})};
+    std::optional<StartAnswer> answer;
+    m_tasks.Spawn([&]() -> QCoro::Task<void> {
+      const fleet::StartCall call{
+          .order = order, .lease_until_ms = 9000, .fencing_token = 7, .timeout = 2s};
+      answer = co_await m_executors.Start(m_process.address(incarnation), call);
+    });
+    EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
+    return answer.value_or(StartAnswer::kUnknown);
+  }
+
+  HoldResult Hold(std::optional<int64_t> incarnation) {
+    HoldResult result;
+    m_tasks.Spawn([&]() -> QCoro::Task<void> {
+      const HoldCall call{
+          .lease_until_ms = 9000, .fencing_token = 7, .acknowledged_end = 3, .timeout = 2s};
+      result = co_await m_executors.Hold(m_process.address(incarnation), call);
+    });
+    EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
+    return result;
+  }
+
+  ExecutorProcess m_process;
+  http::Client m_client;
+  HttpExecutors m_executors{m_client};
+  TaskScope m_tasks;
+};
+
+// Guards against two runs of a task (TWICE): an executor restarts, and a start that was decided on
+// before reaches the next incarnation on a new connection, before that knows a token.
+TEST_F(ExecutorCallsTest, StartForAnEndedIncarnationIsNotSent) {
+  EXPECT_EQ(Start(kFirstIncarnation), StartAnswer::kStarted);
+  m_process.Run(kSecondIncarnation);
+  EXPECT_NE(Start(kFirstIncarnation), StartAnswer::kStarted);
+  EXPECT_EQ(Start(kFirstIncarnation), StartAnswer::kNotSent);
+  for (const auto& call : m_process.calls) {
+    EXPECT_FALSE(call.incarnation == kSecondIncarnation && call.path == "/v1/run-start");
+  }
+  EXPECT_EQ(Start(kSecondIncarnation), StartAnswer::kStarted);
+}
+
+// Guards against an end that nobody has seen and that is acknowledged (TWICE), and against a lease
+// on the clock of the previous incarnation: the first call on a connection has no effect.
+TEST_F(ExecutorCallsTest, FirstHoldOnAConnectionHasNoTerms) {
+  EXPECT_EQ(Hold(kFirstIncarnation).outcome, HoldOutcome::kReported);
+  EXPECT_EQ(Hold(kFirstIncarnation).outcome, HoldOutcome::kReported);
+  m_process.Run(kSecondIncarnation);
+  Hold(kFirstIncarnation);  // The kept-alive connection may turn out to be closed.
+  const HoldResult after = Hold(kFirstIncarnation);
+  EXPECT_EQ(after.report.incarnation_unix_ms, kSecondIncarnation);
+  bool extended = false;
+  for (const auto& call : m_process.calls) {
+    const auto body = json::Parse(call.body);
+    ASSERT_TRUE(body.ok());
+    json::ObjectReader reader(body.value());
+    const bool has_terms = reader.Integer("deadlineMs") != 0 || reader.Integer("lastSeen") != 0;
+    EXPECT_FALSE(has_terms && call.incarnation == kSecondIncarnation);
+    extended |= has_terms;
+  }
+  EXPECT_TRUE(extended);
+}
+
+}  // namespace
+}  // namespace citronferry::platform
