Send calls with an effect only where their incarnation has answered

Callers saw tasks run twice. An executor that restarts keeps its id and its address, and a call names the id only. A start, a lease or an acknowledgement that was decided on for one incarnation was therefore carried out by the next one if it came on a new connection, of the owner or of a relay, before that incarnation knew a token (ExecutorCallsTest, over real connections). Fencing tokens cannot exclude it: an incarnation knows none before its first call.

Change: HttpExecutors keeps the incarnation that answered on a connection as its label, and sends starts, leases and acknowledgements only on a connection with the label of the incarnation that they are meant for. The first call on a connection is a hold without effect, which identifies the incarnation. A connection ends with its process, so a call that is late on it never reaches the next one. Relays pass the incarnation on.

This works for all paths, as both owners and relays call executors through HttpExecutors. It costs one hold for each new connection that is used for starts; holds pay with their first round trip.

The four LateCallsTest cases handed late calls to the next incarnation directly, which the transport excludes now. They are delivered through its model (FakeExecutor::calls_are_bound) with the terms that the owner gave them, and check as before that no task runs twice; without the binding they fail. LateStartAndLateHoldBeforeTheToken expected that the owner learns of the end of the late start; it expects now that the task runs once, on the present incarnation. FaultSchedules and LateCalls of SchedulingPropertyTest keep calls unbound.

--- a/src/decisions/scheduling/executor_session.h
+++ b/src/decisions/scheduling/executor_session.h
@@ -19,6 +19,7 @@
   /// ExecutorState::fences when the token was begun. An executor that answers the hold rejects all
   /// calls that were made before.
   int64_t fences = 0;
+  int64_t incarnation_unix_ms = 0;  ///< That the terms are meant for.
 
   /// @return whether the executor is the incarnation that the owner knows.
   bool established() const { return lease_until_ms.has_value(); }
@@ -27,7 +28,8 @@
 /// What a start tells an executor, besides the run.
 struct StartTerms {
   int64_t fencing_token = 0;
-  int64_t lease_until_ms = 0;  ///< On the executor's clock.
+  int64_t lease_until_ms = 0;       ///< On the executor's clock.
+  int64_t incarnation_unix_ms = 0;  ///< That the start is meant for.
 };
 
 /// Decides what an owner may tell an executor, and with which fencing token.
--- a/src/decisions/scheduling/internal/executor_session.cc
+++ b/src/decisions/scheduling/internal/executor_session.cc
@@ -16,8 +16,10 @@
     m_scope = scope;
     m_token_used = false;
   }
-  HoldTerms terms{
-      .fencing_token = m_token, .unanswered_calls = m_unanswered_calls, .fences = m_scope->fences};
+  HoldTerms terms{.fencing_token = m_token,
+                  .unanswered_calls = m_unanswered_calls,
+                  .fences = m_scope->fences,
+                  .incarnation_unix_ms = scope.incarnation_unix_ms};
   const bool answers = executor.responding && m_unanswered_before_report == m_unanswered_calls;
   if (!answers || !IsEstablished(executor)) return terms;
   terms.acknowledged_end = executor.durable_end;
@@ -33,7 +35,9 @@
 std::optional<StartTerms> ExecutorSession::MakeStart(const ExecutorState& executor,
                                                      TimePoint now) const {
   if (!executor.responding || !IsEstablished(executor)) return std::nullopt;
-  return StartTerms{.fencing_token = m_token, .lease_until_ms = LeaseFrom(now)};
+  return StartTerms{.fencing_token = m_token,
+                    .lease_until_ms = LeaseFrom(now),
+                    .incarnation_unix_ms = executor.info.incarnation_unix_ms};
 }
 
 void ExecutorSession::OnReport(const HoldTerms& terms, const ExecutorReport& report,
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -49,6 +49,9 @@
   double slowdown_factor = 1;
   /// A late start is judged by the lease that the executor has by then, not by its own one.
   bool judges_starts_by_its_lease = false;
+  /// Calls with an effect reach only the incarnation that they are meant for, as HttpExecutors
+  /// sends them on connections on which it has answered.
+  bool calls_are_bound = false;
   double clock_rate = 1;  ///< Of the executor's clock; a slow one makes its leases longer.
   /// Run time of a task before the slowdown; by default the declared one.
   std::function<Duration(const TaskId&, const StepSpec&)> run_time;
@@ -63,6 +66,7 @@
   }
   StartAnswer Start(const StartOrder& order, const StartTerms& terms, TimePoint now) {
     if (!reachable) return StartAnswer::kUnknown;
+    if (!IsMeantForThis(terms.incarnation_unix_ms)) return StartAnswer::kNotSent;
     const StartAnswer answer = CarryOut(order, terms, now);
     return loses_answers ? StartAnswer::kUnknown : answer;
   }
@@ -89,8 +93,12 @@
   }
 
   /// Extends the lease and reports the runs.
-  std::optional<ExecutorReport> Hold(const HoldTerms& terms, TimePoint now) {
+  std::optional<ExecutorReport> Hold(HoldTerms terms, TimePoint now) {
     if (!reachable) return std::nullopt;
+    if (!IsMeantForThis(terms.incarnation_unix_ms)) {
+      terms.lease_until_ms.reset();
+      terms.acknowledged_end = 0;
+    }
     const auto report = CarryOut(terms, now);
     return loses_answers ? std::nullopt : report;
   }
@@ -98,6 +106,7 @@
   /// Carries out a hold that has arrived.
   std::optional<ExecutorReport> CarryOut(const HoldTerms& terms, TimePoint now) {
     Advance(now);
+    if (terms.established() && !IsMeantForThis(terms.incarnation_unix_ms)) return std::nullopt;
     if (terms.fencing_token < m_token) return std::nullopt;
     m_token = terms.fencing_token;
     if (terms.lease_until_ms) ExtendLease(*terms.lease_until_ms, now);
@@ -119,6 +128,7 @@
   /// Carries out a start that has arrived.
   StartAnswer CarryOut(const StartOrder& order, const StartTerms& terms, TimePoint now) {
     Advance(now);
+    if (!IsMeantForThis(terms.incarnation_unix_ms)) return StartAnswer::kNotSent;
     if (terms.fencing_token < m_token) return StartAnswer::kFenced;
     m_token = terms.fencing_token;
     const bool passed = terms.lease_until_ms <= ClockMs(now);
@@ -193,6 +203,10 @@
   }
 
  private:
+  bool IsMeantForThis(int64_t incarnation_unix_ms) const {
+    return !calls_are_bound || incarnation_unix_ms == m_info.incarnation_unix_ms;
+  }
+
   static Duration Scale(Duration duration, double factor) {
     return Duration(std::llround(static_cast<double>(duration.count()) * factor));
   }
@@ -271,6 +285,11 @@
     return id;
   }
 
+  /// Makes calls with an effect reach only the incarnation that they are meant for.
+  void BindCalls() {
+    for (auto& [id, executor] : m_executors) executor.calls_are_bound = true;
+  }
+
   /// Makes the owner release the pool to a new one, with a record of what may run in it.
   /// @return whether that was possible; the last commit needs the store.
   bool HandOver() {
@@ -433,6 +452,12 @@
   }
   bool listed(const ExecutorId& id) const { return !unlisted.contains(id); }
 
+  /// @return the terms of a start that is sent now.
+  StartTerms TermsOf(const StartOrder& order) {
+    const ExecutorState* state = m_scheduler->FindExecutor(order.executor);
+    return SessionOf(order.executor).MakeStart(*state, m_now).value_or(StartTerms());
+  }
+
   FakeExecutor& executor(std::string_view id) { return m_executors.at(ExecutorId(id)); }
   std::map<ExecutorId, FakeExecutor>& executors() { return m_executors; }
   PoolScheduler& scheduler() { return *m_scheduler; }
--- a/src/decisions/scheduling/tests/late_calls_test.cc
+++ b/src/decisions/scheduling/tests/late_calls_test.cc
@@ -36,6 +36,7 @@
 // next incarnation, and a late hold acknowledges that end, both before the owner calls it.
 TEST(LateCallsTest, LateStartAndLateHoldBeforeTheToken) {
   FakePool pool(1);
+  pool.BindCalls();
   FakeExecutor& executor = pool.executor("x0");
   pool.Submit(MakeJob("a", {MakeStep(1, 1000, 100ms)}));
   pool.Run(300ms);
@@ -44,36 +45,40 @@
   const Orders orders = pool.scheduler().Plan(pool.now());
   ASSERT_EQ(orders.starts.size(), 1u);
   const StartOrder start = orders.starts.front();
+  const StartTerms terms = pool.TermsOf(start);
   executor.delays_holds = true;  // The hold was sent before the start had its time-out.
   pool.Step();
   executor.delays_holds = false;
   pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
   executor.Restart();
   pool.owner_paused = true;
-  ASSERT_EQ(executor.Start(start, 1, pool.now(), pool.now() + 5s), StartAnswer::kStarted);
+  EXPECT_EQ(executor.CarryOut(start, terms, pool.now()), StartAnswer::kNotSent);
   pool.Run(FakePool::kLateness + 100ms);
   pool.owner_paused = false;
   pool.Run(2s);
-  EXPECT_EQ(pool.starts[kTask], 0) << "started again";
+  EXPECT_EQ(pool.State(JobId("b")), JobState::kCompleted);
+  EXPECT_EQ(pool.starts[kTask], 1) << "of the present incarnation";
   const auto repeated = pool.ledger().FindRepeatedTask();
   EXPECT_FALSE(repeated) << *repeated;
-  EXPECT_TRUE(pool.Noted("ends_missed"));
+  EXPECT_FALSE(pool.Noted("ends_missed"));
 }
 
 // Guards against the same: a start that was stopped on one incarnation reaches the next one, after
 // its task has ended elsewhere.
 TEST(LateCallsTest, CopyOfAStoppedStartAfterARestart) {
   FakePool pool(2);
+  pool.BindCalls();
   pool.Run(100ms);
   pool.Submit(MakeJob("b", {MakeStep(1, 1000, 300ms)}));
   const Orders orders = pool.scheduler().Plan(pool.now());
   const StartOrder start = orders.starts.at(0);
+  const StartTerms terms = pool.TermsOf(start);
   FakeExecutor& executor = pool.executor(start.executor.view());
   pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
   pool.Run(1s);
   ASSERT_EQ(pool.State(JobId("b")), JobState::kCompleted);
   executor.Restart();
-  EXPECT_NE(executor.Start(start, 1, pool.now(), pool.now() + 5s), StartAnswer::kStarted);
+  EXPECT_NE(executor.CarryOut(start, terms, pool.now()), StartAnswer::kStarted);
   const auto repeated = pool.ledger().FindRepeatedTask();
   EXPECT_FALSE(repeated) << *repeated;
 }
@@ -105,9 +110,10 @@
 // lease on the wrong clock.
 TEST(LateCallsTest, LateStartOnASilentRestartedExecutor) {
   FakePool pool(2);
+  pool.BindCalls();
   const StartOrder start = OrderOnFirst(pool);
+  const StartTerms terms = pool.TermsOf(start);
   FakeExecutor& executor = pool.executor("x0");
-  const int64_t lease = executor.ClockMs(pool.now() + 5s);
   pool.scheduler().OnLeaseExtended(ExecutorId("x0"), pool.now());
   pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
   pool.scheduler().SetCordoned(ExecutorId("x1"), false);
@@ -116,8 +122,7 @@
   pool.registry_lags = true;
   pool.Run(1s);
   executor.reachable = true;
-  ASSERT_EQ(executor.Start(start, {.fencing_token = 1, .lease_until_ms = lease}, pool.now()),
-            StartAnswer::kStarted);
+  EXPECT_EQ(executor.CarryOut(start, terms, pool.now()), StartAnswer::kNotSent);
   executor.reachable = false;
   EXPECT_LE(MostCopies(pool, 12s), 1);
 }
@@ -164,7 +169,9 @@
 // incarnation, which has not been called with the token.
 TEST(LateCallsTest, FencedStartAfterARestart) {
   FakePool pool(2);
+  pool.BindCalls();
   const StartOrder start = OrderOnFirst(pool);
+  const StartTerms terms = pool.TermsOf(start);
   FakeExecutor& executor = pool.executor("x0");
   pool.scheduler().OnStartAnswer(start, StartAnswer::kUnknown, pool.now());
   pool.scheduler().SetCordoned(ExecutorId("x0"), true);
@@ -172,7 +179,7 @@
   pool.Run(200ms);
   ASSERT_EQ(pool.CopiesOf(kTask), 1);
   executor.Restart();
-  static_cast<void>(executor.Start(start, 1, pool.now(), pool.now() + 5s));
+  static_cast<void>(executor.CarryOut(start, terms, pool.now()));
   EXPECT_LE(pool.CopiesOf(kTask), 1);
 }
 
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -150,7 +150,7 @@
       m_owner.scheduler().OnLeaseExtended(m_id, asked_at);
       m_lease_sent_at = asked_at;
     }
-    ExecutorAddress to = Address();
+    ExecutorAddress to = Address(terms.incarnation_unix_ms);
     // Another relay that does not answer would take up the rest of the lease.
     if (std::exchange(relay_failed, false) || lease_over) to.relay = EntryId();
     HoldResult result = co_await m_owner.context().platform.executors.Hold(std::move(to), call);
@@ -247,7 +247,8 @@
                          .lease_until_ms = terms->lease_until_ms,
                          .fencing_token = terms->fencing_token,
                          .timeout = kOrderTimeout};
-    answer = co_await m_owner.context().platform.executors.Start(Address(), call);
+    answer = co_await m_owner.context().platform.executors.Start(
+        Address(terms->incarnation_unix_ms), call);
     if (m_owner.ended().requested()) co_return;
     // The executor has restarted meanwhile, and knows the token of its new incarnation.
     const bool superseded = terms->fencing_token != m_session.fencing_token();
--- a/src/fleet/pool/internal/executor_link.h
+++ b/src/fleet/pool/internal/executor_link.h
@@ -61,7 +61,13 @@
   void OnSilence(TimePoint asked_at, bool waited);
   /// Logs the result of a hold that decides whether the runs of a silent executor are given up.
   void LogHoldAfterLease(const HoldResult& result, TimePoint asked_at) const;
-  ExecutorAddress Address() const { return {.id = m_id, .address = m_address, .relay = m_relay}; }
+  /// @param incarnation_unix_ms that the call is meant for; nothing: any.
+  ExecutorAddress Address(std::optional<int64_t> incarnation_unix_ms = std::nullopt) const {
+    return {.id = m_id,
+            .address = m_address,
+            .relay = m_relay,
+            .incarnation_unix_ms = incarnation_unix_ms};
+  }
   /// Waits until the ended runs that were reported are durable, and until a new incarnation can be
   /// given a fencing token.
   QCoro::Task<void> WaitUntilDurable();
--- a/src/fleet/relay/internal/relay_messages.cc
+++ b/src/fleet/relay/internal/relay_messages.cc
@@ -175,6 +175,7 @@
     out.set_number(call.number);
     out.set_executor(call.to.id.str());
     out.set_address(call.to.address);
+    if (call.to.incarnation_unix_ms) out.set_incarnation_unix_ms(*call.to.incarnation_unix_ms);
     out.set_fencing_token(call.fencing_token);
     out.set_timeout_ms(static_cast<uint32_t>(ToMilliseconds(call.timeout)));
     std::visit(OrderEncoder{out}, call.order);
@@ -192,12 +193,13 @@
                        call.executor().size() <= kMaxNameBytes &&
                        call.address().size() <= kMaxNameBytes && call.timeout_ms() <= kMaxNumber;
     if (!valid) return std::nullopt;
-    decoded.calls.push_back(
-        {.number = call.number(),
-         .to = {.id = scheduling::ExecutorId(call.executor()), .address = call.address()},
-         .fencing_token = call.fencing_token(),
-         .timeout = std::chrono::milliseconds(call.timeout_ms()),
-         .order = std::move(*order)});
+    ExecutorAddress to{.id = scheduling::ExecutorId(call.executor()), .address = call.address()};
+    if (call.has_incarnation_unix_ms()) to.incarnation_unix_ms = call.incarnation_unix_ms();
+    decoded.calls.push_back({.number = call.number(),
+                             .to = std::move(to),
+                             .fencing_token = call.fencing_token(),
+                             .timeout = std::chrono::milliseconds(call.timeout_ms()),
+                             .order = std::move(*order)});
   }
   return decoded;
 }
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -18,8 +18,9 @@
  public:
   explicit RecordingExecutors(TimerService& timers) : m_timers(timers) {}
 
-  QCoro::Task<HoldResult> Hold(ExecutorAddress, HoldCall call) override {
+  QCoro::Task<HoldResult> Hold(ExecutorAddress to, HoldCall call) override {
     ++holds;
+    last_address = to;
     last_hold = call;
     HoldResult result{.outcome = HoldOutcome::kReported, .report = report};
     co_return result;
@@ -43,6 +44,7 @@
   }
 
   int holds = 0;
+  ExecutorAddress last_address;
   HoldCall last_hold;
   scheduling::ExecutorReport report;
   StartAnswer start_answer = StartAnswer::kStarted;
@@ -156,8 +158,11 @@
                       .acknowledged_end = 57,
                       .wait = 1s,
                       .timeout = 600ms};
-  const HoldResult result = Await(m_client.Hold(m_to, call));
+  ExecutorAddress to = m_to;
+  to.incarnation_unix_ms = 5;
+  const HoldResult result = Await(m_client.Hold(to, call));
   ASSERT_EQ(result.outcome, HoldOutcome::kReported);
+  EXPECT_EQ(m_behind.last_address.incarnation_unix_ms, 5);
   EXPECT_EQ(m_behind.last_hold.lease_until_ms, 486000);
   EXPECT_EQ(m_behind.last_hold.acknowledged_end, 57);
   EXPECT_EQ(m_behind.last_hold.wait, Duration(1s));
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -42,7 +42,13 @@
   bool progress_extends_timeout = false;
   Idempotency idempotency = Idempotency::kNonIdempotent;
   StopSignal* abort = nullptr;  ///< Optional; ends the exchange early when raised.
-  std::string_view kind;        ///< What the request is for, in ExchangeRecord; a literal.
+  /// Sends the request only on a kept-alive connection that has this label; if there is none, it
+  /// fails with kUnavailable. A server that restarts closes its connections, so a request with the
+  /// label of one process of a server never reaches the next one.
+  std::optional<int64_t> required_label;
+  /// Optional; tells from the response which label the connection has from then on.
+  std::function<std::optional<int64_t>(const Response&)> read_label;
+  std::string_view kind;  ///< What the request is for, in ExchangeRecord; a literal.
 };
 
 /// What an exchange took, for counters.
@@ -104,7 +110,7 @@
   };
 
   std::unique_ptr<ClientConnection> TakeConnection(const std::string& authority,
-                                                   Idempotency idempotency);
+                                                   const ClientRequest& request);
   void ReturnConnection(const std::string& authority, std::unique_ptr<ClientConnection> connection);
 
   ClientOptions m_options;
--- a/src/http/internal/client.cc
+++ b/src/http/internal/client.cc
@@ -4,6 +4,7 @@
 #include <QHostAddress>
 #include <QUrl>
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "http/internal/client_connection.h"
@@ -44,15 +45,25 @@
 }
 
 std::unique_ptr<ClientConnection> Client::TakeConnection(const std::string& authority,
-                                                         Idempotency idempotency) {
+                                                         const ClientRequest& request) {
   ServerPool& pool = m_servers[authority];
   if (pool.in_use >= m_options.max_connections_per_server) return nullptr;
-  ++pool.in_use;
-  while (idempotency != Idempotency::kNonIdempotent && !pool.idle.empty()) {
-    std::unique_ptr<ClientConnection> connection = std::move(pool.idle.back());
-    pool.idle.pop_back();
-    if (connection->reusable()) return connection;
+  std::erase_if(pool.idle, [](const auto& connection) { return !connection->reusable(); });
+  const auto found =
+      std::find_if(pool.idle.rbegin(), pool.idle.rend(), [&](const auto& connection) {
+        return !request.required_label || connection->label() == request.required_label;
+      });
+  if (found != pool.idle.rend() && request.idempotency != Idempotency::kNonIdempotent) {
+    std::unique_ptr<ClientConnection> connection = std::move(*found);
+    pool.idle.erase(std::next(found).base());
+    ++pool.in_use;
+    return connection;
+  }
+  if (request.required_label) {
+    if (pool.in_use == 0 && pool.idle.empty()) m_servers.erase(authority);
+    return nullptr;
   }
+  ++pool.in_use;
   ++m_opened_connections;
   return std::make_unique<ClientConnection>(m_options, m_generation);
 }
@@ -76,9 +87,11 @@
   QElapsedTimer elapsed;
   elapsed.start();
   while (true) {
-    std::unique_ptr<ClientConnection> connection = TakeConnection(authority, request.idempotency);
+    std::unique_ptr<ClientConnection> connection = TakeConnection(authority, request);
     if (!connection) {
-      co_return Ret(ErrorCode::kUnavailable, "all connections to " + authority + " in use");
+      const std::string_view reason =
+          request.required_label ? "no idle connection with the label" : "all connections in use";
+      co_return Ret(ErrorCode::kUnavailable, authority + ": " + std::string(reason));
     }
     const bool reused = connection->used();
     const qint64 started_ms = elapsed.elapsed();
@@ -87,6 +100,9 @@
     const Duration left = std::max<Duration>(
         Duration::zero(), request.timeout - std::chrono::milliseconds(elapsed.elapsed()));
     ExchangeResult result = co_await connection->Exchange(url, request, left);
+    if (request.read_label && result.outcome == ExchangeOutcome::kComplete) {
+      connection->SetLabel(request.read_label(result.response));
+    }
     ReturnConnection(authority, std::move(connection));
     if (m_observer) {
       m_observer({.kind = request.kind,
--- a/src/http/internal/client_connection.h
+++ b/src/http/internal/client_connection.h
@@ -4,6 +4,7 @@
 #include <QTcpSocket>
 #include <QUrl>
 #include <memory>
+#include <optional>
 
 #include "http/client.h"
 
@@ -47,10 +48,14 @@
   /// @return whether the connection has carried an exchange already.
   bool used() const { return m_used; }
   uint64_t generation() const { return m_generation; }
+  /// @return ClientRequest::required_label of the requests that it may carry, if it has one.
+  std::optional<int64_t> label() const { return m_label; }
+  void SetLabel(std::optional<int64_t> label) { m_label = label; }
 
  private:
   const ClientOptions& m_options;
   uint64_t m_generation;
+  std::optional<int64_t> m_label;
   std::unique_ptr<QTcpSocket> m_socket;
   bool m_keep_alive = false;
   bool m_used = false;
--- a/src/platform/internal/executors.cc
+++ b/src/platform/internal/executors.cc
@@ -1,5 +1,6 @@
 #include "platform/internal/executors.h"
 
+#include <QElapsedTimer>
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -72,6 +73,15 @@
   return ended;
 }
 
+// A connection on which an incarnation has answered may be taken by another call at once.
+constexpr int kMaxAttempts = 3;
+
+std::optional<int64_t> ReadIncarnation(const http::Response& response) {
+  const auto report = DecodeReport(BodyText(response));
+  if (response.status != 200 || !report.ok()) return std::nullopt;
+  return report->incarnation_unix_ms;
+}
+
 }  // namespace
 
 RetVal<ExecutorReport> DecodeReport(std::string_view text) {
@@ -97,27 +107,70 @@
 
 QCoro::Task<RetVal<http::Response>> HttpExecutors::Post(const fleet::ExecutorAddress& to,
                                                         const Endpoint& endpoint,
-                                                        std::string_view body, Duration timeout,
-                                                        StopSignal* abort) {
-  // The run id makes a repeated order harmless, so idle keep-alive connections may be reused.
-  return m_client.Send(
-      {.method = "POST",
-       .url = "http://" + to.address + std::string(endpoint.path),
-       .headers = {{"Content-Type", "application/json"}, {"X-Expect-Instance", to.id.str()}},
-       .body = QByteArray(body.data(), static_cast<qsizetype>(body.size())),
-       .timeout = timeout,
-       .idempotency = http::Idempotency::kIdempotent,
-       .abort = abort,
-       .kind = endpoint.kind});
+                                                        const Route& route, std::string_view body,
+                                                        Duration timeout, StopSignal* abort) {
+  http::ClientRequest request{
+      .method = "POST",
+      .url = "http://" + to.address + std::string(endpoint.path),
+      .headers = {{"Content-Type", "application/json"}, {"X-Expect-Instance", to.id.str()}},
+      .body = QByteArray(body.data(), static_cast<qsizetype>(body.size())),
+      .timeout = timeout,
+      // The run id makes a repeated order harmless, so idle keep-alive connections may be reused.
+      .idempotency = http::Idempotency::kIdempotent,
+      .abort = abort,
+      .required_label = route.incarnation_unix_ms,
+      .kind = endpoint.kind};
+  if (route.identifies) request.read_label = ReadIncarnation;
+  return m_client.Send(std::move(request));
 }
 
-QCoro::Task<fleet::HoldResult> HttpExecutors::Hold(fleet::ExecutorAddress to,
-                                                   fleet::HoldCall call) {
+QCoro::Task<RetVal<http::Response>> HttpExecutors::PostHold(const fleet::ExecutorAddress& to,
+                                                            const Route& route,
+                                                            const fleet::HoldCall& call) {
   bj::object body{{"fencingToken", call.fencing_token}, {"lastSeen", call.acknowledged_end}};
   if (call.lease_until_ms) body["deadlineMs"] = *call.lease_until_ms;
   if (call.wait > Duration::zero()) body["waitMs"] = ToMilliseconds(call.wait);
-  const auto response =
-      co_await Post(to, kHold, bj::serialize(body), call.wait + call.timeout, call.abort);
+  return Post(to, kHold, route, bj::serialize(body), call.wait + call.timeout, call.abort);
+}
+
+QCoro::Task<RetVal<http::Response>> HttpExecutors::PostToIncarnation(
+    const fleet::ExecutorAddress& to, const Endpoint& endpoint, int64_t fencing_token,
+    std::string_view body, Duration timeout) {
+  const Route route{.incarnation_unix_ms = to.incarnation_unix_ms};
+  QElapsedTimer elapsed;
+  elapsed.start();
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const Duration left = std::max<Duration>(
+        Duration::zero(), timeout - std::chrono::milliseconds(elapsed.elapsed()));
+    auto response = co_await Post(to, endpoint, route, body, left);
+    if (response.ok() || response.code() != ErrorCode::kUnavailable) co_return response;
+    const fleet::HoldCall identifying{.fencing_token = fencing_token, .timeout = left};
+    const auto report = co_await PostHold(to, kIdentification, identifying);
+    if (!report.ok()) {
+      co_return Ret(ErrorCode::kUnavailable,
+                    "not identified: " + std::string(report.ret().message()));
+    }
+    // Another executor at the address answers the call itself in the same way.
+    if (report->status == kStatusMisdirectedRequest) co_return report;
+    if (ReadIncarnation(report.value()) != to.incarnation_unix_ms) {
+      co_return Ret(ErrorCode::kUnavailable, "another incarnation has answered");
+    }
+  }
+  co_return Ret(ErrorCode::kUnavailable, "all identified connections are in use");
+}
+
+QCoro::Task<fleet::HoldResult> HttpExecutors::Hold(fleet::ExecutorAddress to,
+                                                   fleet::HoldCall call) {
+  const Route route{.incarnation_unix_ms = to.incarnation_unix_ms};
+  const bool has_terms = call.lease_until_ms || call.acknowledged_end > 0;
+  RetVal<http::Response> response = Ret(ErrorCode::kUnavailable, "not sent");
+  if (has_terms) response = co_await PostHold(to, route, call);
+  if (!response.ok() && response.code() == ErrorCode::kUnavailable) {
+    call.lease_until_ms.reset();
+    call.acknowledged_end = 0;
+    call.wait = Duration::zero();
+    response = co_await PostHold(to, kIdentification, call);
+  }
   fleet::HoldResult result;
   if (!response.ok()) {
     result.error = std::string(response.ret().message());
@@ -151,8 +204,12 @@
                   {"fencingToken", call.fencing_token}};
   if (!order.checkpoint.empty()) body["checkpoint"] = order.checkpoint;
   if (!order.ticket.empty()) body["ticket"] = order.ticket;
-  const auto response = co_await Post(to, kStart, bj::serialize(body), call.timeout);
-  if (!response.ok()) co_return StartAnswer::kUnknown;
+  const auto response =
+      co_await PostToIncarnation(to, kStart, call.fencing_token, bj::serialize(body), call.timeout);
+  if (!response.ok()) {
+    const bool sent = response.code() != ErrorCode::kUnavailable;
+    co_return sent ? StartAnswer::kUnknown : StartAnswer::kNotSent;
+  }
   switch (response->status) {
     case 200:
       co_return StartAnswer::kStarted;
@@ -176,7 +233,7 @@
                                             int64_t fencing_token, Duration timeout) {
   const bj::object body{
       {"task", FormatTask(order.task)}, {"runId", order.run}, {"fencingToken", fencing_token}};
-  const auto response = co_await Post(to, kStop, bj::serialize(body), timeout);
+  const auto response = co_await Post(to, kStop, kAnywhere, bj::serialize(body), timeout);
   if (!response.ok()) co_return StopAnswer::kUnknown;
   if (response->status == 200) co_return StopAnswer::kAccepted;
   if (response->status == kStatusMisdirectedRequest) co_return StopAnswer::kOtherExecutor;
@@ -189,7 +246,7 @@
                         {"runId", order.run},
                         {"percent", order.percent},
                         {"fencingToken", fencing_token}};
-  const auto response = co_await Post(to, kPace, bj::serialize(body), timeout);
+  const auto response = co_await Post(to, kPace, kAnywhere, bj::serialize(body), timeout);
   if (!response.ok()) co_return response.ret();
   if (response->status == 200) co_return MakeOk();
   co_return Ret(ErrorCode::kConflict,
--- a/src/platform/internal/executors.h
+++ b/src/platform/internal/executors.h
@@ -1,6 +1,7 @@
 #ifndef CITRONFERRY_PLATFORM_INTERNAL_EXECUTORS_H_
 #define CITRONFERRY_PLATFORM_INTERNAL_EXECUTORS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,11 @@
 RetVal<scheduling::ExecutorReport> DecodeReport(std::string_view text);
 
 /// HTTP client of the executors.
+///
+/// An executor that restarts keeps its id and address, and the header of a call names the id only.
+/// A call that is meant for one incarnation is therefore sent on a kept-alive connection on which
+/// that incarnation has answered. The connection ends with the process, so the next incarnation
+/// cannot receive the call, however late it arrives.
 class HttpExecutors : public fleet::Executors {
  public:
   explicit HttpExecutors(http::Client& client) : m_client(client) {}
@@ -36,9 +42,31 @@
   static constexpr Endpoint kStop{"/v1/run-stop", "executor_stop"};
   static constexpr Endpoint kPace{"/v1/pace", "executor_pace"};
 
+  /// Where a call may be sent.
+  struct Route {
+    /// Only where this incarnation has answered before; nothing: anywhere.
+    std::optional<int64_t> incarnation_unix_ms;
+    bool identifies = false;  ///< The response tells which incarnation is at the other end.
+  };
+  static constexpr Route kAnywhere{.incarnation_unix_ms = std::nullopt, .identifies = false};
+  static constexpr Route kIdentification{.incarnation_unix_ms = std::nullopt, .identifies = true};
+
   QCoro::Task<RetVal<http::Response>> Post(const fleet::ExecutorAddress& to,
-                                           const Endpoint& endpoint, std::string_view body,
-                                           Duration timeout, StopSignal* abort = nullptr);
+                                           const Endpoint& endpoint, const Route& route,
+                                           std::string_view body, Duration timeout,
+                                           StopSignal* abort = nullptr);
+  /// Makes a hold.
+  /// @param route whose incarnation the terms of the call are meant for.
+  /// @return kUnavailable if it was not sent.
+  QCoro::Task<RetVal<http::Response>> PostHold(const fleet::ExecutorAddress& to, const Route& route,
+                                               const fleet::HoldCall& call);
+  /// Makes a call to one incarnation, after a hold without effect where that incarnation has not
+  /// answered yet.
+  /// @return kUnavailable if it was not sent.
+  QCoro::Task<RetVal<http::Response>> PostToIncarnation(const fleet::ExecutorAddress& to,
+                                                        const Endpoint& endpoint,
+                                                        int64_t fencing_token,
+                                                        std::string_view body, Duration timeout);
 
   http::Client& m_client;
 };
--- a/src/platform/tests/executors_test.cc
+++ b/src/platform/tests/executors_test.cc
@@ -165,5 +165,14 @@
   EXPECT_TRUE(extended);
 }
 
+// Guards against a hold before each start: connections on which the incarnation has answered are
+// kept.
+TEST_F(ExecutorCallsTest, IncarnationIsIdentifiedOncePerConnection) {
+  for (int i = 0; i < 5; ++i) ASSERT_EQ(Start(kFirstIncarnation), StartAnswer::kStarted);
+  EXPECT_EQ(m_process.CountOf("/v1/run-start"), 5);
+  EXPECT_EQ(m_process.CountOf("/v1/hold"), 1);
+  EXPECT_EQ(m_client.opened_connections(), 1u);
+}
+
 }  // namespace
 }  // namespace citronferry::platform
