--- a/src/decisions/scheduling/tests/scheduling_property_test.cc
+++ b/src/decisions/scheduling/tests/scheduling_property_test.cc
@@ -220,15 +220,21 @@
   std::map<std::string, int> m_cuts;  ///< Step at which each executor can be reached again.
 };
 
+uint64_t ReadVariable(const char* name, uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
 /// Plays schedules. The environment variable CITRONFERRY_SCHEDULES sets their number, and
-/// CITRONFERRY_SEED the first seed (1).
+/// CITRONFERRY_SEED the first seed (1). CITRONFERRY_PARTS divides them, and CITRONFERRY_PART (from
+/// 1) selects a part.
 void PlaySchedules(uint64_t default_count, bool late_calls) {
-  const auto read = [](const char* name, uint64_t fallback) {
-    const char* text = std::getenv(name);
-    return text ? std::strtoull(text, nullptr, 10) : fallback;
-  };
-  const uint64_t first = read("CITRONFERRY_SEED", 1);
-  const uint64_t count = read("CITRONFERRY_SCHEDULES", default_count);
+  const uint64_t all = ReadVariable("CITRONFERRY_SCHEDULES", default_count);
+  const uint64_t parts = ReadVariable("CITRONFERRY_PARTS", 1);
+  const uint64_t part = ReadVariable("CITRONFERRY_PART", 1);
+  const uint64_t begin = all * (part - 1) / parts;
+  const uint64_t count = all * part / parts - begin;
+  const uint64_t first = ReadVariable("CITRONFERRY_SEED", 1) + begin;
   for (uint64_t seed = first; seed < first + count; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     FaultSchedule(seed, late_calls).RunSchedule();
