Extend leases while starts have no response

Callers saw tasks run twice in bursts: an overloaded owner let the lease of an executor run out that answered each hold, and started its tasks elsewhere. Cause: after any call without a response the next hold carried neither lease nor acknowledgement, since the executor might have restarted; while responses are late there is always such a call.

Change: only holds without a response suspend the terms. Starts and stops need not, since calls with an effect reach no other incarnation than the one that they are meant for.

--- a/src/decisions/scheduling/executor_session.h
+++ b/src/decisions/scheduling/executor_session.h
@@ -15,7 +15,7 @@
   int64_t fencing_token = 0;
   int64_t acknowledged_end = 0;           ///< Number of the last end that the executor may forget.
   std::optional<int64_t> lease_until_ms;  ///< On the executor's clock; nothing: not extended.
-  int64_t unanswered_calls = 0;           ///< Before the hold; for ExecutorSession::OnReport.
+  int64_t unanswered_calls = 0;           ///< Holds before this one; for ExecutorSession::OnReport.
   /// ExecutorState::fences when the token was begun. An executor that answers the hold rejects all
   /// calls that were made before.
   int64_t fences = 0;
@@ -38,7 +38,9 @@
 /// lease under which its run was given up has expired, or the executor has restarted under its id,
 /// with another clock and with ends that are numbered anew. The owner then begins a new token. Once
 /// the executor has answered a call with it, it rejects all earlier calls, however late they
-/// arrive. Before that, the owner acknowledges no end, extends no lease and orders no start.
+/// arrive. Before that, the owner acknowledges no end, extends no lease and orders no start. The
+/// terms name the incarnation that they are meant for, and whoever makes the call sends them to no
+/// other one, so starts and stops without a response do not keep the lease from being extended.
 class ExecutorSession {
  public:
   /// @param newest_version of the owner's commits, its epoch before the first one; the token for
@@ -64,7 +66,7 @@
   /// @return the token for stops and paces.
   int64_t fencing_token() const { return m_token; }
 
-  /// Records that a call had no response: the executor may have restarted since its last report.
+  /// Records that a hold had no response: the executor may have restarted since its last report.
   void OnUnanswered() { ++m_unanswered_calls; }
   /// @param terms of the hold that returned the report.
   /// @param now time at which the report arrived.
@@ -95,7 +97,7 @@
   int64_t m_reported_incarnation = 0;       // Start time according to that report.
   int64_t m_clock_ms = 0;                   // The executor's clock according to that report.
   TimePoint m_clock_read_at{};
-  int64_t m_unanswered_calls = 0;
+  int64_t m_unanswered_calls = 0;  // Holds without a response.
   int64_t m_unanswered_before_report = 0;
 };
 
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -428,7 +428,7 @@
                                 .order = stop,
                                 .fencing_token = token,
                                 .incarnation_unix_ms = executor.info().incarnation_unix_ms});
-        SessionOf(stop.executor).OnUnanswered();
+        if (!executor.calls_are_bound) SessionOf(stop.executor).OnUnanswered();
         m_scheduler->OnStopAnswer(stop, StopAnswer::kUnknown, m_now);
         continue;
       }
@@ -527,15 +527,16 @@
     const auto terms = state ? session.MakeStart(*state, m_now) : std::nullopt;
     if (!terms) return StartAnswer::kNotSent;
     if (executor.loses_starts) {
-      session.OnUnanswered();
+      if (!executor.calls_are_bound) session.OnUnanswered();
       return StartAnswer::kUnknown;
     }
     if (executor.reachable && !executor.delays_starts) {
       const StartAnswer answer = executor.Start(order, *terms, m_now);
-      if (answer == StartAnswer::kUnknown) session.OnUnanswered();
+      const bool suspends = answer == StartAnswer::kUnknown && !executor.calls_are_bound;
+      if (suspends) session.OnUnanswered();
       return answer;
     }
-    session.OnUnanswered();
+    if (!executor.calls_are_bound) session.OnUnanswered();
     m_late_starts.push_back({.sent_at = m_now,
                              .lateness = lateness,
                              .order = order,
--- a/src/decisions/scheduling/tests/scheduling_property_test.cc
+++ b/src/decisions/scheduling/tests/scheduling_property_test.cc
@@ -15,10 +15,13 @@
 class FaultSchedule {
  public:
   /// @param late_calls whether calls are carried out up to 12 s late, beside all other faults.
-  explicit FaultSchedule(uint64_t seed, bool late_calls = false)
+  /// @param bound_calls whether calls with an effect reach only the incarnation of an executor that
+  ///   they are meant for; others reach the next one, too, however late they are.
+  explicit FaultSchedule(uint64_t seed, bool late_calls = false, bool bound_calls = false)
       : m_random(seed), m_late_calls(late_calls), m_pool(5) {
     m_pool.call_timeout = 500ms;
-    m_pool.restarts_forget_calls = late_calls;
+    m_pool.restarts_forget_calls = late_calls && !bound_calls;
+    if (bound_calls) m_pool.BindCalls();
     // Start times stay positive when the time of day is set back.
     for (auto& [id, executor] : m_pool.executors()) {
       executor.Restart(1'000'000);
@@ -228,7 +231,7 @@
 /// Plays schedules. The environment variable CITRONFERRY_SCHEDULES sets their number, and
 /// CITRONFERRY_SEED the first seed (1). CITRONFERRY_PARTS divides them, and CITRONFERRY_PART (from
 /// 1) selects a part.
-void PlaySchedules(uint64_t default_count, bool late_calls) {
+void PlaySchedules(uint64_t default_count, bool late_calls, bool bound_calls = false) {
   const uint64_t all = ReadVariable("CITRONFERRY_SCHEDULES", default_count);
   const uint64_t parts = ReadVariable("CITRONFERRY_PARTS", 1);
   const uint64_t part = ReadVariable("CITRONFERRY_PART", 1);
@@ -237,7 +240,7 @@
   const uint64_t first = ReadVariable("CITRONFERRY_SEED", 1) + begin;
   for (uint64_t seed = first; seed < first + count; ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
-    FaultSchedule(seed, late_calls).RunSchedule();
+    FaultSchedule(seed, late_calls, bound_calls).RunSchedule();
     if (::testing::Test::HasFailure()) return;
   }
 }
@@ -251,5 +254,9 @@
 // expired, by executors whose clocks may be slow.
 TEST(SchedulingPropertyTest, LateCallsKeepTheInvariants) { PlaySchedules(100, true); }
 
+// Guards against the same when calls without a response do not suspend leases and acknowledgements,
+// and calls without an effect reach the next incarnation of an executor.
+TEST(SchedulingPropertyTest, BoundCallsKeepTheInvariants) { PlaySchedules(100, true, true); }
+
 }  // namespace
 }  // namespace citronferry::scheduling
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -182,12 +182,10 @@
         OnSilence(asked_at, now - asked_at >= call.timeout);
         break;
       case HoldOutcome::kRelayFailed:
-        // Recorded before the terms of the repetition are made: the executor may have restarted
-        // meanwhile, so the repetition acknowledges nothing and extends no lease. Its report
-        // settles which incarnation is alive. The relayed hold may arrive after that report. The
-        // incarnation that it was meant for may carry it out; the next one rejects its token as
-        // soon as it has answered with its own, before which the owner acknowledges none of its
-        // ends.
+        // Recorded before the terms of the repetition are made, which acknowledges nothing and
+        // extends no lease: what the owner knows of the executor is as old as the relayed hold.
+        // The relayed hold may arrive after the repetition, but only at the incarnation that it
+        // was meant for.
         m_session.OnUnanswered();
         relay_failed = true;
         continue;
@@ -255,7 +253,6 @@
     if (answer == StartAnswer::kFenced && superseded) answer = StartAnswer::kNotSent;
     if (answer != StartAnswer::kUnknown) break;
     unanswered = true;
-    m_session.OnUnanswered();
     m_owner.scheduler().OnStartUnanswered(order);
   }
   if (unanswered && !SettlesEarlierAttempts(answer)) answer = StartAnswer::kUnknown;
@@ -277,7 +274,6 @@
     const bool superseded = token != m_session.fencing_token();
     if (answer == StopAnswer::kFenced && superseded) answer = StopAnswer::kUnknown;
     if (answer != StopAnswer::kUnknown) break;
-    m_session.OnUnanswered();
     // The scheduler repeats stops; only a closed connection is replaced at once.
     if (timers.Now() - sent_at >= kOrderTimeout) break;
   }
