Copy tasks of silent executors only on a recent report

Callers saw tasks run twice; the last part of the rule holds where copies are allowed, too: no start more than a second after an end was listed. Cause: a task whose executor had not answered for 1.6 s was copied at once, though its run may have ended right after the last report was requested.

A task on an executor that is silent for longer waits until its run is given up, like other tasks. A successor may still copy tasks that it knows no run of, after the owner was lost: their ends count as known only when the successor acknowledges them.

StragglerTest.NothingIsCopiedWithinItsLeaseForASilentExecutor failed before (a second start) and passes.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -370,15 +370,16 @@
   return candidates;
 }
 
-bool PoolScheduler::NeedsPlacement(const Task& task, const StepSpec& spec) const {
+bool PoolScheduler::NeedsPlacement(const Task& task, const StepSpec& spec, TimePoint now) const {
   if (task.done) return false;
   if (task.runs.empty()) return true;
   if (!spec.copies_allowed) return false;
   // A copy is needed if no executor of a run responds.
-  return std::none_of(task.runs.begin(), task.runs.end(), [this](const Run& run) {
+  const bool all_silent = std::none_of(task.runs.begin(), task.runs.end(), [this](const Run& run) {
     const auto found = m_executors.find(run.executor);
     return found == m_executors.end() || found->second.responding || !found->second.contacted;
   });
+  return all_silent && CopyDeadline(task, now);
 }
 
 std::vector<PoolScheduler::PlanningJob> PoolScheduler::RankJobs(TimePoint now) const {
@@ -392,7 +393,7 @@
         needs_placement =
             std::any_of(occurrence.steps[step].tasks.begin(), occurrence.steps[step].tasks.end(),
                         [&](const Task& task) {
-                          return NeedsPlacement(task, job.spec(static_cast<int>(step)));
+                          return NeedsPlacement(task, job.spec(static_cast<int>(step)), now);
                         });
       }
     }
@@ -401,11 +402,11 @@
   }
   std::stable_sort(ranked.begin(), ranked.end(),
                    [](const PlanningJob& a, const PlanningJob& b) { return a.rank < b.rank; });
-  if (m_team_shares.active()) RankByTeams(ranked);
+  if (m_team_shares.active()) RankByTeams(ranked, now);
   return ranked;
 }
 
-void PoolScheduler::RankByTeams(std::vector<PlanningJob>& ranked) const {
+void PoolScheduler::RankByTeams(std::vector<PlanningJob>& ranked, TimePoint now) const {
   struct TeamState {
     int jobs_within_rate = 0;
     double use = 0;  ///< Including jobs that go before.
@@ -433,7 +434,7 @@
         const StepSpec& spec = entry.job->spec(static_cast<int>(step));
         const auto waiting =
             std::count_if(occurrence.steps[step].tasks.begin(), occurrence.steps[step].tasks.end(),
-                          [&](const Task& task) { return NeedsPlacement(task, spec); });
+                          [&](const Task& task) { return NeedsPlacement(task, spec, now); });
         state.use += m_team_shares.DominantShare(Times(spec.request, static_cast<int>(waiting)));
       }
     }
@@ -529,7 +530,7 @@
   bool placed_all = true;
   for (size_t i = 0; i < step.tasks.size(); ++i) {
     Task& task = step.tasks[i];
-    if (!NeedsPlacement(task, spec)) continue;
+    if (!NeedsPlacement(task, spec, now)) continue;
     if (!m_team_quotas.Allows(job.definition()->team, spec.request)) {
       id.index = static_cast<int>(i);
       HoldBack(job, id, spec.request);
@@ -556,6 +557,8 @@
 
 void PoolScheduler::Start(Job& job, const TaskId& id, Task& task, ExecutorState& executor,
                           int64_t run, TimePoint now) {
+  const std::optional<TimePoint> send_before =
+      task.runs.empty() ? std::nullopt : CopyDeadline(task, now);
   task.runs.push_back(
       {.id = run, .executor = executor.info.id, .ordered_at = now, .percent_changed_at = now});
   executor.runs.push_back({.job = &job, .task = id, .run = run});
@@ -575,7 +578,8 @@
        .run = run,
        .definition = job.definition(),
        .checkpoint = checkpoint,
-       .ticket = ticket == step.tickets.end() ? std::string() : ticket->second});
+       .ticket = ticket == step.tickets.end() ? std::string() : ticket->second,
+       .send_before = send_before});
 }
 
 Step* PoolScheduler::FindStep(const TaskId& id) {
--- a/src/decisions/scheduling/internal/stragglers.cc
+++ b/src/decisions/scheduling/internal/stragglers.cc
@@ -37,6 +37,18 @@
   return prediction.MeanRemaining(elapsed) > prediction.Mean();
 }
 
+std::optional<TimePoint> PoolScheduler::CopyDeadline(const Task& task, TimePoint now) const {
+  TimePoint deadline = TimePoint::max();
+  for (const Run& run : task.runs) {
+    const auto executor = m_executors.find(run.executor);
+    if (executor == m_executors.end()) return std::nullopt;
+    const TimePoint requested_at = executor->second.report_requested_at;
+    if (now - requested_at > kMaxReportAge) return std::nullopt;
+    deadline = std::min(deadline, requested_at + kCopyValidity);
+  }
+  return deadline;
+}
+
 void PoolScheduler::CopyStragglers(Placer& placer, TimePoint now) {
   size_t running = 0;
   size_t copied = 0;
@@ -71,7 +83,7 @@
     const ExecutorId current = task.runs.front().executor;
     ExecutorState* slow = FindExecutor(current);
     if (!slow) continue;
-    if (now - slow->report_requested_at > kMaxReportAge) {
+    if (!CopyDeadline(task, now)) {
       slow->report_wanted = true;
       continue;
     }
@@ -83,7 +95,6 @@
     Note("straggler_copied", id, run, executor->info.id,
          "report of " + current.str() + " requested " + std::to_string(age) + " ms ago");
     Start(*job, id, task, *executor, run, now);
-    m_orders.starts.back().send_before = slow->report_requested_at + kCopyValidity;
   }
 }
 
--- a/src/decisions/scheduling/internal/tickets.cc
+++ b/src/decisions/scheduling/internal/tickets.cc
@@ -25,9 +25,10 @@
       for (size_t i = 0; i < occurrence.steps.size(); ++i) {
         Step& step = occurrence.steps[i];
         const bool valid = step.tickets_valid_until && *step.tickets_valid_until > now;
-        const bool needs_placement = std::any_of(
-            step.tasks.begin(), step.tasks.end(),
-            [&](const Task& task) { return NeedsPlacement(task, job.spec(static_cast<int>(i))); });
+        const bool needs_placement =
+            std::any_of(step.tasks.begin(), step.tasks.end(), [&](const Task& task) {
+              return NeedsPlacement(task, job.spec(static_cast<int>(i)), now);
+            });
         if (!Job::IsReady(step) || step.tickets_requested || !needs_placement ||
             (valid && !step.tickets.empty())) {
           continue;
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -324,7 +324,7 @@
   /// Orders waiting jobs of equal priority and timeliness by their teams. Within a team, the order
   /// is not changed.
   /// @param ranked in the order of their ranks.
-  void RankByTeams(std::vector<PlanningJob>& ranked) const;
+  void RankByTeams(std::vector<PlanningJob>& ranked, TimePoint now) const;
   /// @return whether all waiting tasks of the step were placed, or the step cannot be placed for a
   ///   reason other than capacity.
   bool PlaceStep(Job& job, int occurrence, int step_index, Placer& placer, TimePoint now);
@@ -340,8 +340,11 @@
   /// @return whether a second run of a task may be started because its only run is a straggler.
   bool IsStraggler(const Job& job, const TaskId& id, const Task& task, TimePoint now) const;
   /// @return whether a task has to be placed: it has no run, or copies are allowed and the
-  ///   executors of all its runs do not respond.
-  bool NeedsPlacement(const Task& task, const StepSpec& spec) const;
+  ///   executors of all its runs have just stopped responding.
+  bool NeedsPlacement(const Task& task, const StepSpec& spec, TimePoint now) const;
+  /// @return until when a copy of a task may be ordered beside its runs; nothing if the reports on
+  ///   them are too old, so that one of them may have ended long ago.
+  std::optional<TimePoint> CopyDeadline(const Task& task, TimePoint now) const;
   /// @return whether a previous owner may have started tasks that this owner does not know of yet.
   bool TakeoverUnresolved(const StepSpec& spec) const;
   /// @return the capacity of inherited executors on which unknown runs may exist.
