Show two runs after late answers on a restarted executor

Callers would see a task run twice at a time. Two tests fail with it:

A stop or a start that was sent to the former address of an executor is answered by another executor there after the restart is known. OnExecutorGone takes the answer for one on the present incarnation and drops its runs, since neither the answer nor the order names the incarnation.

After a handover or a takeover, the registry lists a past incarnation with a later start time. ListExecutor leaves the decision to the first report, but the past incarnations stay unknown, so the next reading of the same row counts as a restart and drops the runs. The existing test lists the row only before the first report.

--- a/src/decisions/scheduling/tests/executor_restart_test.cc
+++ b/src/decisions/scheduling/tests/executor_restart_test.cc
@@ -369,5 +369,48 @@
   EXPECT_EQ(pool.starts[task], 1);
 }
 
+// Guards against two runs at a time (TWICE): an executor restarts at another address, and another
+// executor answers at its former one a stop that was sent before the restart was known.
+TEST_F(ExecutorRestartTest, AnswerFromAFormerAddressDoesNotEndRunsOfTheNextIncarnation) {
+  FakePool pool(2);
+  const TaskId task{.job = JobId("b")};
+  pool.Run(200ms);
+  const StopOrder sent{.executor = ExecutorId("x0"), .task = {.job = JobId("old")}, .run = 1};
+  pool.executor("x0").Restart();
+  pool.Run(200ms);
+  pool.scheduler().SetCordoned(ExecutorId("x1"), true);
+  pool.Submit(MakeJob("b", {MakeStep(1, 1000, 60s)}));
+  pool.Run(300ms);
+  ASSERT_TRUE(pool.executor("x0").Runs(task));
+  pool.scheduler().SetCordoned(ExecutorId("x1"), false);
+  pool.scheduler().OnStopAnswer(sent, StopAnswer::kOtherExecutor, pool.now());
+  // The owner plans before the next report of the executor.
+  pool.ExecuteOrders(pool.scheduler().Plan(pool.now()));
+  EXPECT_EQ(pool.CopiesOf(task), 1);
+}
+
+// Guards against two runs at a time (TWICE) when the registry is read again after the first report:
+// each change of another row of the registry lists all executors anew.
+TEST_F(ExecutorRestartTest, RegistryDoesNotGoBackAfterTheFirstReportToASuccessor) {
+  FakePool pool(2);
+  const TaskId task{.job = JobId("b")};
+  pool.Run(200ms);
+  const ExecutorDescription outdated = pool.executor("x0").info();
+  pool.registry_lags = true;
+  pool.executor("x0").Restart(-500);
+  pool.Run(200ms);
+  pool.scheduler().SetCordoned(ExecutorId("x1"), true);
+  pool.Submit(MakeJob("b", {MakeStep(1, 1000, 60s)}));
+  pool.Run(300ms);
+  ASSERT_TRUE(pool.executor("x0").Runs(task));
+  ASSERT_TRUE(pool.HandOver());
+  pool.scheduler().ListExecutor(outdated, pool.now());
+  pool.Run(200ms);
+  pool.scheduler().ListExecutor(outdated, pool.now());
+  // The owner plans before the next report of the executor.
+  pool.ExecuteOrders(pool.scheduler().Plan(pool.now()));
+  EXPECT_EQ(pool.CopiesOf(task), 1);
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
