Show holds without terms and a fence that is not reported

Callers would see work that is done again and ends that are not acknowledged in bursts: starts that time out close the identified connection that a hold would need, and the hold is then sent without lease and acknowledgement.

A start whose identifying hold is rejected for its fencing token is reported as not sent, so PoolScheduler::fenced() stays false and the deposed owner places the task again.

--- a/src/platform/tests/executors_test.cc
+++ b/src/platform/tests/executors_test.cc
@@ -11,6 +11,7 @@
 
 #include "http/server.h"
 #include "json/reader.h"
+#include "supervision/awaitables.h"
 #include "supervision/task_scope.h"
 #include "supervision/testing/event_loop.h"
 
@@ -47,6 +48,7 @@
                             .port = m_port,
                             .drain_timeout = Duration::zero()},
         [this](http::Request request) -> QCoro::Task<http::Response> {
+          if (request.path == "/v1/run-start") co_await SleepFor(*m_timers, start_delay);
           co_return Answer(request);
         });
     ASSERT_TRUE(m_server->Listen().ok());
@@ -67,11 +69,14 @@
   }
 
   std::vector<ReceivedCall> calls;
+  Duration start_delay{};  ///< Before a start is answered.
+  bool fences = false;     ///< Calls are rejected for their fencing token.
 
  private:
   http::Response Answer(const http::Request& request) {
     calls.push_back(
         {.incarnation = m_incarnation, .path = request.path, .body = request.body.toStdString()});
+    if (fences) return {.status = 409, .body = R"({"clockMs":5,"reason":"fence"})"};
     const std::string report = R"({"clockMs":5,"born":)" + std::to_string(m_incarnation) + "}";
     return {.body = QByteArray::fromStdString(request.path == "/v1/hold" ? report
                                                                          : R"({"clockMs":5})")};
@@ -99,19 +104,21 @@
   }
 
   StartAnswer Start(std::optional<int64_t> incarnation) {
+    std::optional<StartAnswer> answer;
+    m_tasks.Spawn([&]() -> QCoro::Task<void> { answer = co_await SendStart(incarnation, 2s); });
+    EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
+    return answer.value_or(StartAnswer::kUnknown);
+  }
+
+  QCoro::Task<StartAnswer> SendStart(std::optional<int64_t> incarnation, Duration timeout) {
     const scheduling::StartOrder order{.executor = scheduling::ExecutorId("x"),
                                        .task = {.job = JobId("5c0e7a21d94b36f8")},
                                        .run = 1,
                                        .definition = std::make_shared<scheduling::JobDefinition>(
                                            scheduling::JobDefinition{.payload = "p"})};
-    std::optional<StartAnswer> answer;
-    m_tasks.Spawn([&]() -> QCoro::Task<void> {
-      const fleet::StartCall call{
-          .order = order, .lease_until_ms = 9000, .fencing_token = 7, .timeout = 2s};
-      answer = co_await m_executors.Start(m_process.address(incarnation), call);
-    });
-    EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
-    return answer.value_or(StartAnswer::kUnknown);
+    const fleet::StartCall call{
+        .order = order, .lease_until_ms = 9000, .fencing_token = 7, .timeout = timeout};
+    co_return co_await m_executors.Start(m_process.address(incarnation), call);
   }
 
   HoldResult Hold(std::optional<int64_t> incarnation) {
@@ -125,6 +132,7 @@
     return result;
   }
 
+  const std::unique_ptr<TimerService> m_timers = MakeQtTimerService();
   ExecutorProcess m_process;
   http::Client m_client;
   HttpExecutors m_executors{m_client};
@@ -174,5 +182,47 @@
   EXPECT_EQ(m_client.opened_connections(), 1u);
 }
 
+// Guards against leases that run out although the executor answers each hold (TWICE and LOST in
+// bursts): starts without a response take the connection on which a hold could have extended it.
+TEST_F(ExecutorCallsTest, StartsWithoutAResponseDoNotKeepHoldsFromHavingTerms) {
+  // As an owner with two queues of orders, whose commits take longer than its starts.
+  constexpr Duration kStartTimeout = 50ms;
+  constexpr Duration kPauseBetweenHolds = 65ms;
+  constexpr int kHolds = 20;
+  m_process.start_delay = 10s;
+  bool done = false;
+  for (int queue = 0; queue < 2; ++queue) {
+    m_tasks.Spawn([&]() -> QCoro::Task<void> {
+      while (!done) static_cast<void>(co_await SendStart(kFirstIncarnation, kStartTimeout));
+    });
+  }
+  int reported = 0;
+  m_tasks.Spawn([&]() -> QCoro::Task<void> {
+    for (int i = 0; i < kHolds; ++i) {
+      const HoldCall call{
+          .lease_until_ms = 9000, .fencing_token = 7, .acknowledged_end = 3, .timeout = 600ms};
+      const HoldResult result =
+          co_await m_executors.Hold(m_process.address(kFirstIncarnation), call);
+      if (result.outcome == HoldOutcome::kReported) ++reported;
+      co_await SleepFor(*m_timers, kPauseBetweenHolds);
+    }
+    done = true;
+  });
+  ASSERT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
+  EXPECT_EQ(reported, kHolds);
+  const auto extended =
+      std::count_if(m_process.calls.begin(), m_process.calls.end(), [](const auto& call) {
+        return call.path == "/v1/hold" && call.body.find("deadlineMs") != std::string::npos;
+      });
+  EXPECT_GE(extended, kHolds / 2);
+}
+
+// Guards against a deposed owner that does not learn of its successor: the executor rejects the
+// token of the hold that identifies it, and the owner goes on placing tasks there.
+TEST_F(ExecutorCallsTest, FenceThatTheIdentificationMeetsIsReported) {
+  m_process.fences = true;
+  EXPECT_EQ(Start(kFirstIncarnation), StartAnswer::kFenced);
+}
+
 }  // namespace
 }  // namespace citronferry::platform
