Show that a start that is not sent is placed again at once

Callers would see a busy owner and many connections: when an executor answers holds on a kept-alive connection while new connections fail at once, each start is reported as not sent, and the task is placed on the same executor with the next plan.

--- a/src/fleet/tests/executor_link_test.cc
+++ b/src/fleet/tests/executor_link_test.cc
@@ -36,7 +36,7 @@
     ++starts;
     if (on_start) on_start();
     if (response_time > Duration::zero()) co_await SleepFor(m_timers, response_time);
-    co_return StartAnswer::kUnknown;
+    co_return start_answer;
   }
   QCoro::Task<scheduling::StopAnswer> Stop(ExecutorAddress, scheduling::StopOrder, int64_t,
                                            Duration) override {
@@ -50,6 +50,7 @@
   std::vector<HoldCall> holds;
   std::vector<TimePoint> held_at;
   int starts = 0;
+  StartAnswer start_answer = StartAnswer::kUnknown;
   std::function<void()> on_start;
   Duration response_time{};
 
@@ -191,6 +192,22 @@
   EXPECT_LE(longest, 2u);
 }
 
+// Guards against a loop without a pause (new connections are charged): the executor answers holds
+// on a kept-alive connection, and no other connection can be opened, so that no start is sent.
+TEST_F(ExecutorLinkTest, StartThatCannotBeSentIsNotPlacedAgainAtOnce) {
+  const scheduling::JobDefinition job{
+      .id = JobId("a"), .queue = QueueName("queue"), .payload = "work", .steps = {{}}};
+  m_rows.Apply({.puts = {{.key = JobKey(m_pool, job.id), .value = EncodeJob(job)}}});
+  m_scripted.results = {Reported(kIncarnation)};
+  m_scripted.start_answer = StartAnswer::kNotSent;
+  std::optional<TimePoint> started_at;
+  m_scripted.on_start = [&] {
+    if (!started_at) started_at = m_timers->Now();
+  };
+  ASSERT_TRUE(RunOwnerUntil([&] { return started_at && m_timers->Now() - *started_at >= 1s; }));
+  EXPECT_LE(m_scripted.starts, 10);
+}
+
 // Guards against a second attempt of a start that reaches the next incarnation of an executor
 // (TWICE, review/3).
 TEST_F(ExecutorLinkTest, StartIsNotRepeatedAfterARestart) {
