Check that a call that fails at once does not end a listed executor's runs

ExecutorLinkTest.ListedExecutorHasLongerToAnswerTheCallAfterItsLease ended with the first call after the lease, and its only executor is silent, so that no further start could be made in any case. It passed without the rule that a call that fails at once does not count. It waits for a second such call now, which fails without that rule.

--- a/src/fleet/tests/executor_link_test.cc
+++ b/src/fleet/tests/executor_link_test.cc
@@ -158,8 +158,12 @@
   m_scripted.results = {Reported(kIncarnation), Reported(kIncarnation), HoldResult{}};
   m_scripted.on_start = [this] { m_scripted.results = {HoldResult{}}; };
   std::optional<TimePoint> extended_at;
-  ASSERT_TRUE(RunOwnerUntil(
-      [&] { return !m_scripted.holds.empty() && m_scripted.holds.back().timeout > 1s; }));
+  // A run that is given up ends these calls, so the second one shows that a call that fails at once
+  // does not count.
+  ASSERT_TRUE(RunOwnerUntil([&] {
+    return std::count_if(m_scripted.holds.begin(), m_scripted.holds.end(),
+                         [](const HoldCall& hold) { return hold.timeout > 1s; }) >= 2;
+  }));
   for (size_t i = 0; i < m_scripted.holds.size(); ++i) {
     if (m_scripted.holds[i].lease_until_ms) extended_at = m_scripted.held_at[i];
   }
