Send a call right after the hold that identifies its incarnation

A hold now identifies the incarnation as a start does and is sent with its terms on the same connection at once. What the executor answers to the identifying hold counts where the call is not sent for it: a rejected token, another executor at the address, or for a hold the report of another incarnation.

--- a/src/platform/internal/executors.cc
+++ b/src/platform/internal/executors.cc
@@ -124,57 +124,44 @@
   return m_client.Send(std::move(request));
 }
 
-QCoro::Task<RetVal<http::Response>> HttpExecutors::PostHold(const fleet::ExecutorAddress& to,
-                                                            const Route& route,
-                                                            const fleet::HoldCall& call) {
-  bj::object body{{"fencingToken", call.fencing_token}, {"lastSeen", call.acknowledged_end}};
-  if (call.lease_until_ms) body["deadlineMs"] = *call.lease_until_ms;
-  if (call.wait > Duration::zero()) body["waitMs"] = ToMilliseconds(call.wait);
-  return Post(to, kHold, route, bj::serialize(body), call.wait + call.timeout, call.abort);
+QCoro::Task<RetVal<http::Response>> HttpExecutors::Identify(const fleet::ExecutorAddress& to,
+                                                            int64_t fencing_token, Duration timeout,
+                                                            StopSignal* abort) {
+  const bj::object body{{"fencingToken", fencing_token}, {"lastSeen", 0}};
+  return Post(to, kHold, kIdentification, bj::serialize(body), timeout, abort);
 }
 
-QCoro::Task<RetVal<http::Response>> HttpExecutors::PostToIncarnation(
+QCoro::Task<HttpExecutors::BoundExchange> HttpExecutors::PostToIncarnation(
     const fleet::ExecutorAddress& to, const Endpoint& endpoint, int64_t fencing_token,
-    std::string_view body, Duration timeout) {
+    std::string_view body, Duration timeout, StopSignal* abort) {
   const Route route{.incarnation_unix_ms = to.incarnation_unix_ms};
   QElapsedTimer elapsed;
   elapsed.start();
+  BoundExchange exchange{.response = Ret(ErrorCode::kUnavailable, "no identified connection")};
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     const Duration left = std::max<Duration>(
         Duration::zero(), timeout - std::chrono::milliseconds(elapsed.elapsed()));
-    auto response = co_await Post(to, endpoint, route, body, left);
-    if (response.ok() || response.code() != ErrorCode::kUnavailable) co_return response;
-    const fleet::HoldCall identifying{.fencing_token = fencing_token, .timeout = left};
-    const auto report = co_await PostHold(to, kIdentification, identifying);
-    if (!report.ok()) {
-      co_return Ret(ErrorCode::kUnavailable,
-                    "not identified: " + std::string(report.ret().message()));
+    exchange.response = co_await Post(to, endpoint, route, body, left, abort);
+    if (exchange.response.ok() || exchange.response.code() != ErrorCode::kUnavailable) break;
+    auto identification = co_await Identify(to, fencing_token, left, abort);
+    if (!identification.ok()) {
+      const std::string reason(identification.ret().message());
+      exchange.response = Ret(ErrorCode::kUnavailable, "not identified: " + reason);
+      break;
     }
-    // Another executor at the address answers the call itself in the same way.
-    if (report->status == kStatusMisdirectedRequest) co_return report;
-    if (ReadIncarnation(report.value()) != to.incarnation_unix_ms) {
-      co_return Ret(ErrorCode::kUnavailable, "another incarnation has answered");
+    if (ReadIncarnation(identification.value()) != to.incarnation_unix_ms) {
+      exchange.identification = std::move(identification).value();
+      break;
     }
   }
-  co_return Ret(ErrorCode::kUnavailable, "all identified connections are in use");
+  co_return exchange;
 }
 
-QCoro::Task<fleet::HoldResult> HttpExecutors::Hold(fleet::ExecutorAddress to,
-                                                   fleet::HoldCall call) {
-  const Route route{.incarnation_unix_ms = to.incarnation_unix_ms};
-  const bool has_terms = call.lease_until_ms || call.acknowledged_end > 0;
-  RetVal<http::Response> response = Ret(ErrorCode::kUnavailable, "not sent");
-  if (has_terms) response = co_await PostHold(to, route, call);
-  if (!response.ok() && response.code() == ErrorCode::kUnavailable) {
-    call.lease_until_ms.reset();
-    call.acknowledged_end = 0;
-    call.wait = Duration::zero();
-    response = co_await PostHold(to, kIdentification, call);
-  }
+fleet::HoldResult HttpExecutors::ReadHold(const RetVal<http::Response>& response) {
   fleet::HoldResult result;
   if (!response.ok()) {
     result.error = std::string(response.ret().message());
-    co_return result;
+    return result;
   }
   if (response->status == 200) {
     auto report = DecodeReport(BodyText(response.value()));
@@ -192,7 +179,24 @@
   } else {
     result.error = "the executor returned HTTP status " + std::to_string(response->status);
   }
-  co_return result;
+  return result;
+}
+
+QCoro::Task<fleet::HoldResult> HttpExecutors::Hold(fleet::ExecutorAddress to,
+                                                   fleet::HoldCall call) {
+  const bool has_terms = call.lease_until_ms || call.acknowledged_end > 0;
+  if (!has_terms) {
+    const auto report = co_await Identify(to, call.fencing_token, call.timeout, call.abort);
+    co_return ReadHold(report);
+  }
+  bj::object body{{"fencingToken", call.fencing_token}, {"lastSeen", call.acknowledged_end}};
+  if (call.lease_until_ms) body["deadlineMs"] = *call.lease_until_ms;
+  if (call.wait > Duration::zero()) body["waitMs"] = ToMilliseconds(call.wait);
+  const std::string text = bj::serialize(body);
+  BoundExchange exchange = co_await PostToIncarnation(to, kHold, call.fencing_token, text,
+                                                      call.wait + call.timeout, call.abort);
+  if (exchange.identification) exchange.response = std::move(*exchange.identification);
+  co_return ReadHold(exchange.response);
 }
 
 QCoro::Task<StartAnswer> HttpExecutors::Start(fleet::ExecutorAddress to, fleet::StartCall call) {
@@ -204,28 +208,38 @@
                   {"fencingToken", call.fencing_token}};
   if (!order.checkpoint.empty()) body["checkpoint"] = order.checkpoint;
   if (!order.ticket.empty()) body["ticket"] = order.ticket;
-  const auto response =
-      co_await PostToIncarnation(to, kStart, call.fencing_token, bj::serialize(body), call.timeout);
-  if (!response.ok()) {
-    const bool sent = response.code() != ErrorCode::kUnavailable;
+  const std::string text = bj::serialize(body);
+  const BoundExchange exchange =
+      co_await PostToIncarnation(to, kStart, call.fencing_token, text, call.timeout);
+  if (exchange.identification) {
+    const StartAnswer answer = ReadStartAnswer(*exchange.identification);
+    const bool refused = answer != StartAnswer::kStarted && answer != StartAnswer::kUnknown;
+    co_return refused ? answer : StartAnswer::kNotSent;
+  }
+  if (!exchange.response.ok()) {
+    const bool sent = exchange.response.code() != ErrorCode::kUnavailable;
     co_return sent ? StartAnswer::kUnknown : StartAnswer::kNotSent;
   }
-  switch (response->status) {
+  co_return ReadStartAnswer(exchange.response.value());
+}
+
+StartAnswer HttpExecutors::ReadStartAnswer(const http::Response& response) {
+  switch (response.status) {
     case 200:
-      co_return StartAnswer::kStarted;
+      return StartAnswer::kStarted;
     case 400:
-      co_return StartAnswer::kMalformed;
+      return StartAnswer::kMalformed;
     case 429:
     case 503:
-      co_return StartAnswer::kUnhealthy;
+      return StartAnswer::kUnhealthy;
     case kStatusMisdirectedRequest:
-      co_return StartAnswer::kOtherExecutor;
+      return StartAnswer::kOtherExecutor;
     case 409: {
-      const std::string reason = RefusalReason(response.value());
-      co_return FindByWireName(kStartRefusals, reason).value_or(StartAnswer::kUnknown);
+      const std::string reason = RefusalReason(response);
+      return FindByWireName(kStartRefusals, reason).value_or(StartAnswer::kUnknown);
     }
     default:
-      co_return StartAnswer::kUnknown;
+      return StartAnswer::kUnknown;
   }
 }
 
--- a/src/platform/internal/executors.h
+++ b/src/platform/internal/executors.h
@@ -55,18 +55,25 @@
                                            const Endpoint& endpoint, const Route& route,
                                            std::string_view body, Duration timeout,
                                            StopSignal* abort = nullptr);
-  /// Makes a hold.
-  /// @param route whose incarnation the terms of the call are meant for.
-  /// @return kUnavailable if it was not sent.
-  QCoro::Task<RetVal<http::Response>> PostHold(const fleet::ExecutorAddress& to, const Route& route,
-                                               const fleet::HoldCall& call);
+  /// Makes a hold that only reports, on any connection.
+  QCoro::Task<RetVal<http::Response>> Identify(const fleet::ExecutorAddress& to,
+                                               int64_t fencing_token, Duration timeout,
+                                               StopSignal* abort);
+  /// Outcome of a call to one incarnation.
+  struct BoundExchange {
+    RetVal<http::Response> response;  ///< kUnavailable if the call was not sent.
+    /// Why the call was not sent: what the executor answered to the hold that identifies it.
+    std::optional<http::Response> identification;
+  };
   /// Makes a call to one incarnation, after a hold without effect where that incarnation has not
   /// answered yet.
-  /// @return kUnavailable if it was not sent.
-  QCoro::Task<RetVal<http::Response>> PostToIncarnation(const fleet::ExecutorAddress& to,
-                                                        const Endpoint& endpoint,
-                                                        int64_t fencing_token,
-                                                        std::string_view body, Duration timeout);
+  QCoro::Task<BoundExchange> PostToIncarnation(const fleet::ExecutorAddress& to,
+                                               const Endpoint& endpoint, int64_t fencing_token,
+                                               std::string_view body, Duration timeout,
+                                               StopSignal* abort = nullptr);
+
+  static fleet::HoldResult ReadHold(const RetVal<http::Response>& response);
+  static scheduling::StartAnswer ReadStartAnswer(const http::Response& response);
 
   http::Client& m_client;
 };
