Tie two proofs that an executor has gone to its incarnation

Each has a test that failed.

An executor restarts at another address, and another one answers at the former address a stop or start that was sent before: its runs were dropped. Orders name the incarnation for which they were given, and such an answer counts for that one only (AnswerFromAFormerAddressDoesNotEndRunsOfTheNextIncarnation).

After a takeover, an outdated row of the registry with a later start time was left to the first report, but counted as a restart when it was read again. The first report settles it for good (RegistryDoesNotGoBackAfterTheFirstReportToASuccessor).

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -75,9 +75,12 @@
   std::optional<TimePoint> unlisted_since;
   std::optional<TimePoint> listed_at;
   std::vector<int64_t> past_incarnations;  ///< Start times of those that have ended.
-  int64_t applied_end = 0;                 ///< Number of the last run end that was processed.
-  int64_t durable_end = 0;                 ///< Number of the last run end whose effect is durable.
-  Resources used;                          ///< Charged to its runs.
+  /// Start time in the registry that was later than the known one before the first report to this
+  /// owner, which tells whether that incarnation has ended.
+  std::optional<int64_t> undecided_incarnation;
+  int64_t applied_end = 0;  ///< Number of the last run end that was processed.
+  int64_t durable_end = 0;  ///< Number of the last run end whose effect is durable.
+  Resources used;           ///< Charged to its runs.
   std::vector<RunRef> runs;
   TimePoint lease_bound{};  ///< No run is left after this time, unless the lease is extended.
   TimePoint no_capacity_until{};
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -144,6 +144,7 @@
   if (incarnation < known_incarnation || outdated) return;
   // The past incarnations that a previous owner has met are not known, so its report decides.
   const bool undecided = executor.taken_over && !executor.reported && known_incarnation != 0;
+  if (undecided && incarnation > known_incarnation) executor.undecided_incarnation = incarnation;
   if (incarnation > known_incarnation && known_incarnation != 0 && !undecided) {
     OnRestarted(executor, incarnation, now);
   }
@@ -579,7 +580,8 @@
        .definition = job.definition(),
        .checkpoint = checkpoint,
        .ticket = ticket == step.tickets.end() ? std::string() : ticket->second,
-       .send_before = send_before});
+       .send_before = send_before,
+       .incarnation_unix_ms = executor.info.incarnation_unix_ms});
 }
 
 Step* PoolScheduler::FindStep(const TaskId& id) {
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -62,6 +62,11 @@
   if (report.incarnation_unix_ms != 0)
     executor->info.incarnation_unix_ms = report.incarnation_unix_ms;
 
+  const auto undecided = std::exchange(executor->undecided_incarnation, std::nullopt);
+  if (undecided && *undecided != executor->info.incarnation_unix_ms) {
+    executor->past_incarnations.push_back(*undecided);
+  }
+
   NoteMissedEnds(*executor, report.ended);
   for (const EndedRun& ended : report.ended) {
     if (ended.number <= executor->applied_end) continue;
@@ -215,8 +220,10 @@
   Task* task = FindReportedTask(active.task);
   if (!task) {
     Note("stray_run", active.task, active.run, executor.info.id, "unknown task");
-    m_orders.stops.push_back(
-        {.executor = executor.info.id, .task = active.task, .run = active.run});
+    m_orders.stops.push_back({.executor = executor.info.id,
+                              .task = active.task,
+                              .run = active.run,
+                              .incarnation_unix_ms = executor.info.incarnation_unix_ms});
     m_plan_needed = true;
     return;
   }
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -143,7 +143,12 @@
   run.stop_ordered_at = now;
   // Until this order is confirmed, the run may still appear on the executor.
   run.confirmed_at.reset();
-  m_orders.stops.push_back({.executor = run.executor, .task = task, .run = run.id});
+  const ExecutorState* executor = FindExecutor(run.executor);
+  m_orders.stops.push_back(
+      {.executor = run.executor,
+       .task = task,
+       .run = run.id,
+       .incarnation_unix_ms = executor ? executor->info.incarnation_unix_ms : 0});
   m_plan_needed = true;  // Plan() returns the orders.
 }
 
@@ -218,6 +223,8 @@
       if (now >= *run->fence_at) FenceStart(*executor, *run);
       return;
     case StartAnswer::kOtherExecutor:
+      // The address of a former incarnation may have been given away.
+      if (order.incarnation_unix_ms != executor->info.incarnation_unix_ms) break;
       OnExecutorGone(order.executor, now);
       return;
     case StartAnswer::kFenced:
@@ -252,7 +259,12 @@
 }
 
 void PoolScheduler::OnStopAnswer(const StopOrder& order, StopAnswer answer, TimePoint now) {
-  if (answer == StopAnswer::kOtherExecutor) return OnExecutorGone(order.executor, now);
+  const ExecutorState* executor = FindExecutor(order.executor);
+  // The address of a former incarnation may have been given away.
+  const bool present = executor && order.incarnation_unix_ms == executor->info.incarnation_unix_ms;
+  if (answer == StopAnswer::kOtherExecutor && present) {
+    return OnExecutorGone(order.executor, now);
+  }
   if (answer == StopAnswer::kFenced) m_fenced = true;
   if (answer == StopAnswer::kUnknown) {
     Note("stop_unanswered", order.task, order.run, order.executor);
--- a/src/decisions/scheduling/types.h
+++ b/src/decisions/scheduling/types.h
@@ -222,6 +222,7 @@
   std::string ticket;      ///< Issued by the placement adviser; empty if none is needed.
   /// The order is not sent after this time, if there is one: it relies on a report that ages.
   std::optional<TimePoint> send_before;
+  int64_t incarnation_unix_ms = 0;  ///< Of the executor, as known when the order was given.
 };
 
 /// Stops a run.
@@ -229,6 +230,7 @@
   ExecutorId executor;
   TaskId task;
   int64_t run = 0;
+  int64_t incarnation_unix_ms = 0;  ///< Of the executor, as known when the order was given.
 };
 
 /// Limits the share of its capacity that a task may use.
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -167,7 +167,11 @@
         co_await WaitUntilDurable();
         continue;
       case HoldOutcome::kOtherExecutor:
-        m_owner.scheduler().OnExecutorGone(m_id, now);
+        // The address of a former incarnation may have been given away.
+        state = m_owner.scheduler().FindExecutor(m_id);
+        if (state && state->info.incarnation_unix_ms == terms.incarnation_unix_ms) {
+          m_owner.scheduler().OnExecutorGone(m_id, now);
+        }
         break;
       case HoldOutcome::kFenced:
         Log(LogLevel::kWarning, "executor_fenced",
