Remove the race from the test of a paused owner

CallOfAnOwnerThatWasPausedIsNotSent measured the time in transit against the first batch of its connection. By the code, a first batch that was slow by more than 200 ms would hide enough of the pause of 1200 ms that the call counted as timely, since a relay sends a call that took less than a second beyond the fastest message. No failure of this kind is on record.

Change: the test uses simulated time and moves to the fixture RelayLateCallTest. No time passes while the first batch is in transit, and the pause falls between the call and the timer that sends its message. The expectations are unchanged; the test also checks that the message is sent after the pause and not before it, and that the relay has given a result, so that a session that fails cannot pass for a call that was refused.

--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -1,5 +1,4 @@
 #include <random>
-#include <thread>
 
 #include "fleet/relay/internal/transit_clock.h"
 #include "fleet/relay/relay_client.h"
@@ -247,21 +246,6 @@
   StartServer();
 }
 
-// Guards against a late call that passes for a timely one because the owner was paused between its
-// decision and the message.
-TEST_F(RelayTest, CallOfAnOwnerThatWasPausedIsNotSent) {
-  Connect();
-  const HoldCall call{
-      .lease_until_ms = 5000, .fencing_token = 9, .acknowledged_end = 57, .timeout = 1600ms};
-  std::optional<HoldResult> result;
-  TaskScope scope;
-  scope.Spawn([&]() -> QCoro::Task<void> { result = co_await m_client.Hold(m_to, call); });
-  std::this_thread::sleep_for(1200ms);
-  ASSERT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
-  EXPECT_EQ(result->outcome, HoldOutcome::kRelayFailed);
-  EXPECT_EQ(m_behind.holds, 0);
-}
-
 // Guards against more connections to an executor than the owner would open itself.
 TEST_F(RelayTest, OrdersToOneExecutorShareTwoConnections) {
   Connect();
@@ -333,10 +317,21 @@
     EXPECT_GT(SentBytes(), sent_before);
     EXPECT_EQ(ReceivedBytes(), received_before);
     m_time.Pause(pause);
-    EXPECT_TRUE(ProcessEventsUntil([&] { return ReceivedBytes() > received_before; }));
-    m_time.Advance(kFlushTime);
-    EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
-    return std::move(*result);
+    return AwaitRelayed(scope, result, received_before);
+  }
+
+  /// Makes a call through the relay whose message is sent only after a pause of the process.
+  template <typename T>
+  T CallThenPause(QCoro::Task<T> call, Duration pause) {
+    std::optional<T> result;
+    TaskScope scope;
+    const double sent_before = SentBytes();
+    const double received_before = ReceivedBytes();
+    scope.Spawn([&]() -> QCoro::Task<void> { result.emplace(co_await call); });
+    EXPECT_EQ(SentBytes(), sent_before);
+    m_time.Pause(pause);
+    EXPECT_GT(SentBytes(), sent_before);
+    return AwaitRelayed(scope, result, received_before);
   }
 
   double ReceivedBytes() {
@@ -345,6 +340,15 @@
         .Value();
   }
 
+  /// Lets the relay receive a message and return the result of its call.
+  template <typename T>
+  T AwaitRelayed(const TaskScope& scope, std::optional<T>& result, double received_before) {
+    EXPECT_TRUE(ProcessEventsUntil([&] { return ReceivedBytes() > received_before; }));
+    m_time.Advance(kFlushTime);
+    EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+    return std::move(*result);
+  }
+
   // Interval at which a session that is not open tries to send its first batch.
   static constexpr Duration kRetryInterval = 300ms;
   // Longer than the delay with which the owner sends calls and the relay sends results.
@@ -383,6 +387,18 @@
   EXPECT_EQ(m_behind.holds, 0);
 }
 
+// Guards against a late call that passes for a timely one because the owner was paused between its
+// decision and the message.
+TEST_F(RelayLateCallTest, CallOfAnOwnerThatWasPausedIsNotSent) {
+  Connect();
+  const HoldCall call{
+      .lease_until_ms = 5000, .fencing_token = 9, .acknowledged_end = 57, .timeout = 1600ms};
+  const HoldResult result = CallThenPause(m_client.Hold(m_to, call), 1200ms);
+  EXPECT_EQ(result.outcome, HoldOutcome::kRelayFailed);
+  EXPECT_EQ(m_behind.holds, 0);
+  EXPECT_TRUE(m_client.IsOpen(m_relay)) << "the relay has given a result";
+}
+
 // Guards against a relay that was suspended and then acts on old orders: the time in transit is
 // estimated from the fastest message, whatever the offset of the two clocks.
 TEST(TransitClockTest, DelayBeyondTheFastestMessageIsSeen) {
