Wait for the vacancy of a pool owned under the own name

A process bid at once for a pool whose row named its own entry as the holder, as if the process that wrote the row had ended. Callers would see a task run twice: the machine of an owner is replaced by one of the same name while the previous process still runs, for example cut off from part of the store. The previous owner trusts its ownership for up to 2.2 s after its last commit and follows the feed of jobs; the new one starts jobs that the feed brings at once. Both start the same job, with two epochs, on executors that the new owner has not called yet.

Cause: a name does not tell processes apart, and the vacancy time-out, which outlasts the trust of the previous owner, was skipped.

Change: the time-out is skipped only if the previous owner is known to have ended. Either the row has the incarnation of the process itself, whose elector does not bid while it runs an owner, or it has the address of the relay on which the process listens, which no two processes of a machine can do. Owners write this address into their row, only while they listen. The price is about 25 bytes in each commit, and up to 2.5 s in the takeover by a process of the same name at another address. Restarts on a machine take over as before.

--- a/src/fleet/fleet_context.h
+++ b/src/fleet/fleet_context.h
@@ -61,6 +61,11 @@
   return options.relay_keys ? options.relay_keys->public_key : std::string();
 }
 
+/// @return the IP address and port of this entry's relay.
+inline std::string RelayAddress(const FleetOptions& options) {
+  return options.relay_listener.address + ":" + std::to_string(options.relay_listener.port);
+}
+
 /// Services of the platform that an entry uses.
 struct PlatformServices {
   RowStore& rows;
@@ -77,6 +82,7 @@
   std::string holder;       ///< Name of the owning entry; empty after the ownership was released.
   std::string incarnation;  ///< Process of the owning entry.
   std::string relay_key;    ///< Public key of the owning entry in Z85; see FleetOptions.
+  std::string address;      ///< Where the owning process listens for calls to relay; may be empty.
   bool loading = false;     ///< The owner has not read the state of the pool yet.
   EntryId successor;        ///< After a release: the entry that bids first; empty for any.
   int64_t version = 0;      ///< Version of the row; 0 if there is no row.
@@ -121,8 +127,10 @@
   /// Since when the owners have been read without a failure; empty after a failed read.
   std::optional<TimePoint> owners_seen_since;
   TimePoint store_answered_at{};  ///< When the store last answered a read or a commit.
-  int owned_pools = 0;            ///< Number of pools that this entry owns.
-  bool draining = false;          ///< Set by the signal to stop.
+  /// IP address and port on which this process listens for calls to relay; empty while it does not.
+  std::string relay_address;
+  int owned_pools = 0;    ///< Number of pools that this entry owns.
+  bool draining = false;  ///< Set by the signal to stop.
 };
 
 }  // namespace citronferry::fleet
--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -220,6 +220,7 @@
   bj::object encoded{
       {"holder", record.holder}, {"incarnation", record.incarnation}, {"commit", record.commit}};
   if (!record.relay_key.empty()) encoded["key"] = record.relay_key;
+  if (!record.address.empty()) encoded["address"] = record.address;
   if (record.loading) encoded["loading"] = true;
   if (!record.successor.empty()) encoded["successor"] = record.successor.str();
   return bj::serialize(encoded);
@@ -233,6 +234,7 @@
                      .incarnation = reader.Text("incarnation"),
                      .commit = reader.Integer("commit"),
                      .relay_key = reader.Text("key"),
+                     .address = reader.Text("address"),
                      .loading = reader.Boolean("loading"),
                      .successor = EntryId(reader.Text("successor"))};
   if (!reader.ok()) return reader.ret();
--- a/src/fleet/pool/internal/owner_elector.cc
+++ b/src/fleet/pool/internal/owner_elector.cc
@@ -42,12 +42,21 @@
     return owner.successor.empty() || IsSuccessor() ||
            m_context.timers.Now() - owner.changed_at >= kSuccessorHeadStart;
   }
-  // The row was written by an earlier process, or by a bid whose response was lost.
-  if (owner.holder == m_context.options.name) return true;
+  if (HolderHasEnded(owner)) return true;
   const TimePoint unchanged_since = std::max(owner.changed_at, *m_context.owners_seen_since);
   return m_context.timers.Now() - unchanged_since >= kVacancyTimeout;
 }
 
+bool OwnerElector::HolderHasEnded(const OwnerView& owner) const {
+  if (owner.holder != m_context.options.name) return false;
+  // The row was written by an owner of this process that has ended, or by a bid whose response was
+  // lost: an elector does not bid while it runs an owner.
+  if (owner.incarnation == m_context.options.incarnation) return true;
+  // The name may have passed to another machine while the previous process still runs. Two
+  // processes cannot listen on one address.
+  return !owner.address.empty() && owner.address == m_context.relay_address;
+}
+
 bool OwnerElector::IsSuccessor() const {
   const auto found = m_context.owners.find(m_pool);
   return found != m_context.owners.end() && found->second.holder.empty() &&
@@ -88,6 +97,7 @@
   const OwnerRecord record{.holder = m_context.options.name,
                            .incarnation = m_context.options.incarnation,
                            .relay_key = PublicRelayKey(m_context.options),
+                           .address = m_context.relay_address,
                            .loading = true};
   Transaction bid{.conditions = {{.key = key, .version = replaced->version}},
                   .puts = {{.key = key, .value = EncodeOwner(record)}}};
--- a/src/fleet/pool/internal/owner_elector.h
+++ b/src/fleet/pool/internal/owner_elector.h
@@ -23,8 +23,12 @@
   /// @return the owner to replace, as last observed, or nothing after a stop.
   QCoro::Task<std::optional<OwnerView>> WaitForVacancy();
   /// @return whether this entry may bid: there is no owner, or it has not renewed for
-  ///   kVacancyTimeout, or it is this entry.
+  ///   kVacancyTimeout, or it has ended.
   bool IsVacant() const;
+  /// @return whether the owner is known to have ended: it was part of this process, or of an
+  /// earlier
+  ///   one on this machine.
+  bool HolderHasEnded(const OwnerView& owner) const;
   /// @return whether the previous owner has released the pool to this entry.
   bool IsSuccessor() const;
   /// @return how long this entry leaves a vacant pool to those that should rather own it.
--- a/src/fleet/pool/internal/state_committer.cc
+++ b/src/fleet/pool/internal/state_committer.cc
@@ -50,6 +50,7 @@
                            .incarnation = m_context.options.incarnation,
                            .commit = m_commit,
                            .relay_key = PublicRelayKey(m_context.options),
+                           .address = m_context.relay_address,
                            .loading = !m_loaded,
                            .successor = release ? release->successor : EntryId()};
   Transaction transaction{.conditions = {{.key = owner, .version = m_version}},
--- a/src/fleet/relay/internal/relay_server.cc
+++ b/src/fleet/relay/internal/relay_server.cc
@@ -89,6 +89,7 @@
       ForgetIdlePeers();
       co_await SleepFor(m_context.timers, kKeyCheckInterval, &m_stop);
     }
+    m_context.relay_address.clear();
     co_return co_await m_calls.Join(m_context.timers, kStopDeadline);
   }
 
@@ -120,7 +121,10 @@
                                     .keys = options.relay_keys},
           m_context.metrics, [this](ReceivedMessage message) { OnMessage(std::move(message)); });
       const Ret listening = m_transport->Listen();
-      if (listening.ok()) co_return;
+      if (listening.ok()) {
+        m_context.relay_address = RelayAddress(options);
+        co_return;
+      }
       Log(LogLevel::kError, "relay_listen_failed", {{"error", listening.message()}});
       co_await SleepFor(m_context.timers, backoff.Next(), &m_stop);
     }
--- a/src/fleet/tables.h
+++ b/src/fleet/tables.h
@@ -86,6 +86,7 @@
   std::string incarnation;  ///< Process of the owning entry.
   int64_t commit = 0;       ///< Number of the owner's last commit, counted from its takeover.
   std::string relay_key;    ///< Public key of the owning entry in Z85; may be empty.
+  std::string address;      ///< Where the owning process listens for calls to relay; may be empty.
   bool loading = false;     ///< The owner has not read the state of the pool yet.
   EntryId successor;        ///< After a release: the entry that bids first; empty for any.
 };
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -187,6 +187,25 @@
   EXPECT_EQ(m_direct.holds, 0);
 }
 
+// Guards against two owners of a pool: an entry takes the previous process on its address for ended
+// if it listens there itself, so it must not say so while another process does.
+TEST_F(RelayTest, AddressIsOnlyStatedByTheProcessThatListens) {
+  EXPECT_EQ(m_context.relay_address, "127.0.0.1:" + std::to_string(m_port));
+  FleetContext other{
+      .options = m_options, .timers = *m_timers, .metrics = m_metrics, .platform = m_platform};
+  const std::unique_ptr<Service> server = MakeRelayServer(other, m_behind).factory();
+  TaskScope scope;
+  scope.Spawn([&]() -> QCoro::Task<void> { static_cast<void>(co_await server->Run()); });
+  EXPECT_EQ(other.relay_address, "");
+  StopServer();
+  EXPECT_EQ(m_context.relay_address, "");
+  EXPECT_TRUE(ProcessEventsUntil([&] { return other.relay_address != ""; }));
+  server->Stop();
+  EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+  EXPECT_EQ(other.relay_address, "");
+  StartServer();
+}
+
 // Guards against the load that this is for: a payload for each task on the owner's link.
 TEST_F(RelayTest, PayloadOfAJobIsSentOnce) {
   Connect();
--- a/src/fleet/watch/internal/entry_watcher.cc
+++ b/src/fleet/watch/internal/entry_watcher.cc
@@ -45,8 +45,7 @@
     const FleetOptions& options = m_context.options;
     const RowKey key = EntryKey(EntryId(options.name));
     const EntryRecord record{.entry = EntryId(options.name),
-                             .address = options.relay_listener.address + ":" +
-                                        std::to_string(options.relay_listener.port),
+                             .address = RelayAddress(options),
                              .public_key = PublicRelayKey(options),
                              .cores = options.cores,
                              .link_mbps = options.link_mbps};
--- a/src/fleet/watch/internal/owner_watcher.cc
+++ b/src/fleet/watch/internal/owner_watcher.cc
@@ -115,6 +115,7 @@
   view = {.holder = record->holder,
           .incarnation = record->incarnation,
           .relay_key = record->relay_key,
+          .address = record->address,
           .loading = record->loading,
           .successor = record->successor,
           .version = row.version,
