Send no start after its timeout

A start that had no identified connection asked the executor for its incarnation first and was then sent with a timeout of zero if that response arrived late: it reached the executor, however long ago it was decided on, and the owner took it for unanswered. A response is late in this way when the process is busy for longer than the timeout, since sockets are served before timers. An owner with a surge, or a relay, could so start a copy of a task more than a second after the end of the task was listed (TWICE).

Reckoned for copies otherwise: an order is dropped 500 ms after the report that it relies on was requested, before each of its two attempts. An attempt then takes 400 ms at most, in the queue of a relay and on its way to it as well, which the relay counts from the making of the call. So a copy is sent 0.9 s after that request at the latest, before the bound of 1 s after an end that the report did not list.

Change: the call is given up before it is sent if its time is over, and counts as not sent. ExecutorCallsTest.StartIsNotSentAfterItsTimeout failed before: the executor received the start 300 ms after a call with a timeout of 200 ms.

--- a/src/platform/internal/executors.cc
+++ b/src/platform/internal/executors.cc
@@ -142,6 +142,8 @@
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
     const Duration left = std::max<Duration>(
         Duration::zero(), timeout - std::chrono::milliseconds(elapsed.elapsed()));
+    // A busy process may receive the identification after its timeout.
+    if (left == Duration::zero()) break;
     auto response = co_await Post(to, endpoint, route, body, left);
     if (response.ok() || response.code() != ErrorCode::kUnavailable) co_return response;
     const fleet::HoldCall identifying{.fencing_token = fencing_token, .timeout = left};
@@ -156,7 +158,7 @@
       co_return Ret(ErrorCode::kUnavailable, "another incarnation has answered");
     }
   }
-  co_return Ret(ErrorCode::kUnavailable, "all identified connections are in use");
+  co_return Ret(ErrorCode::kUnavailable, "no identified connection in time");
 }
 
 QCoro::Task<fleet::HoldResult> HttpExecutors::Hold(fleet::ExecutorAddress to,
--- a/src/platform/tests/executors_test.cc
+++ b/src/platform/tests/executors_test.cc
@@ -98,7 +98,7 @@
     m_process.Run(kFirstIncarnation);
   }
 
-  StartAnswer Start(std::optional<int64_t> incarnation) {
+  StartAnswer Start(std::optional<int64_t> incarnation, Duration timeout = 2s) {
     const scheduling::StartOrder order{.executor = scheduling::ExecutorId("x"),
                                        .task = {.job = JobId("5c0e7a21d94b36f8")},
                                        .run = 1,
@@ -107,13 +107,19 @@
     std::optional<StartAnswer> answer;
     m_tasks.Spawn([&]() -> QCoro::Task<void> {
       const fleet::StartCall call{
-          .order = order, .lease_until_ms = 9000, .fencing_token = 7, .timeout = 2s};
+          .order = order, .lease_until_ms = 9000, .fencing_token = 7, .timeout = timeout};
       answer = co_await m_executors.Start(m_process.address(incarnation), call);
     });
     EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
     return answer.value_or(StartAnswer::kUnknown);
   }
 
+  static void ProcessEventsFor(Duration duration) {
+    const auto timers = MakeQtTimerService();
+    const TimePoint end = timers->Now() + duration;
+    EXPECT_TRUE(ProcessEventsUntil([&] { return timers->Now() >= end; }));
+  }
+
   HoldResult Hold(std::optional<int64_t> incarnation) {
     HoldResult result;
     m_tasks.Spawn([&]() -> QCoro::Task<void> {
@@ -165,6 +171,19 @@
   EXPECT_TRUE(extended);
 }
 
+// Guards against a copy of a task that starts more than a second after its end was listed (TWICE):
+// a start waited for the identification of its connection while the process was busy, and was sent
+// although its time was over.
+TEST_F(ExecutorCallsTest, StartIsNotSentAfterItsTimeout) {
+  m_client.SetObserver([](const http::ExchangeRecord&) { QThread::msleep(300); });
+  EXPECT_EQ(Start(kFirstIncarnation, 200ms), StartAnswer::kNotSent);
+  ProcessEventsFor(200ms);
+  EXPECT_EQ(m_process.CountOf("/v1/hold"), 1);
+  EXPECT_EQ(m_process.CountOf("/v1/run-start"), 0);
+  m_client.SetObserver({});
+  EXPECT_EQ(Start(kFirstIncarnation, 200ms), StartAnswer::kStarted);
+}
+
 // Guards against a hold before each start: connections on which the incarnation has answered are
 // kept.
 TEST_F(ExecutorCallsTest, IncarnationIsIdentifiedOncePerConnection) {
