Pin late relayed starts and starts on their way at a release

StartThatArrivesAfterItsTimeoutIsNotSent: the time limit of a copy is not part of a relayed start, so its timeout has to count from the call, in transit and before the message is sent. StartOnItsWayAtAReleaseIsNotRepeated: a job arrives through the feed and its start is on its way when the owner releases the pool; the successor cannot reach the executor and must not start the task elsewhere. With unconfirmed runs left out of what the successor restores, the latter sees two starts.

--- a/src/fleet/tests/owner_elector_test.cc
+++ b/src/fleet/tests/owner_elector_test.cc
@@ -59,6 +59,7 @@
       co_await SleepFor(m_timers, call.timeout);
       co_return StartAnswer::kUnknown;
     }
+    if (start_delay > Duration::zero()) co_await SleepFor(m_timers, start_delay);
     if (!Accepts(to.id, call.fencing_token)) co_return StartAnswer::kFenced;
     m_states.active[to.id].push_back({.task = call.order.task, .run = call.order.run});
     m_states.starts.push_back(
@@ -74,6 +75,7 @@
   }
 
   std::set<ExecutorId> unreachable;
+  Duration start_delay{};  ///< After which an executor carries a start out.
 
  private:
   bool Accepts(const ExecutorId& executor, int64_t token) {
@@ -235,6 +237,34 @@
   EXPECT_TRUE(Stop(second));
 }
 
+// Guards against two runs of a task (TWICE): the start of a job that the feed had just brought was
+// on its way when its owner released the pool, and the successor cannot reach the executor.
+TEST_F(OwnerElectorTest, StartOnItsWayAtAReleaseIsNotRepeated) {
+  const ExecutorId x1("x1");
+  const ExecutorId x2("x2");
+  Process first(*this, "entry-1", "life-1", "10.1.0.9");
+  first.ListExecutors(std::vector{x1});
+  first.executors.start_delay = 300ms;
+  first.Start();
+  ASSERT_TRUE(RunUntil([&] { return m_executor_states.tokens.contains(x1); }));
+  RunFor(1s);
+  Submit(JobId("a"));
+  RunFor(100ms);
+  ASSERT_TRUE(m_executor_states.starts.empty());
+  first.stop.Request();
+  ASSERT_TRUE(RunUntil([&] { return Owner().holder.empty(); }));
+  ASSERT_TRUE(m_executor_states.starts.empty());
+  Process second(*this, "entry-2", "life-2", "10.1.0.10");
+  second.ListExecutors(std::vector{x1, x2});
+  second.executors.unreachable = {x1};
+  second.Start();
+  EXPECT_TRUE(RunUntil([&] { return IsOwnedBy(second); }));
+  RunFor(2s);
+  EXPECT_EQ(m_executor_states.starts.size(), 1u);
+  EXPECT_TRUE(Stop(first));
+  EXPECT_TRUE(Stop(second));
+}
+
 // Guards against an owner that is deposed while it trusts its ownership: its name does not tell
 // that its process has ended.
 TEST_F(OwnerElectorTest, ProcessOfTheSameNameWaitsForTheVacancy) {
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -199,7 +199,7 @@
   EXPECT_EQ(other.relay_address, "");
   StopServer();
   EXPECT_EQ(m_context.relay_address, "");
-  EXPECT_TRUE(ProcessEventsUntil([&] { return other.relay_address != ""; }));
+  EXPECT_TRUE(ProcessEventsUntil([&] { return !other.relay_address.empty(); }));
   server->Stop();
   EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
   EXPECT_EQ(other.relay_address, "");
@@ -418,6 +418,18 @@
   EXPECT_TRUE(m_client.IsOpen(m_relay)) << "the relay has given a result";
 }
 
+// Guards against a copy of a task that starts more than a second after its end was listed (TWICE):
+// the time limit of the order is not part of the message, so its timeout must count from the call.
+TEST_F(RelayLateCallTest, StartThatArrivesAfterItsTimeoutIsNotSent) {
+  Connect();
+  const scheduling::StartOrder order = Order(0);
+  const StartCall start{
+      .order = order, .lease_until_ms = 5000, .fencing_token = 9, .timeout = 400ms};
+  EXPECT_EQ(CallBeforePause(m_client.Start(m_to, start), 500ms), StartAnswer::kNotSent);
+  EXPECT_EQ(CallThenPause(m_client.Start(m_to, start), 500ms), StartAnswer::kNotSent);
+  EXPECT_TRUE(m_behind.payloads.empty());
+}
+
 // Guards against a relay that was suspended and then acts on old orders: the time in transit is
 // estimated from the fastest message, whatever the offset of the two clocks.
 TEST(TransitClockTest, DelayBeyondTheFastestMessageIsSeen) {
