Start no copies for silent executors after a takeover

Callers would see a task whose step allows copies start again more than a second after it has ended, which TWICE forbids there too:

An executor lists the end `done` of a task to a hold of the owner. The owner is too slow to receive the response or to commit, and loses the pool without any disruption. TakeoverUnresolved held inherited jobs back until each inherited executor had reported, but not tasks with copies once the executor had been called. The task has no known run, so CopyDeadline does not apply, and it is started at once.

The exception contradicts the rule for copies of known runs, which rely on a report that was requested at most 250 ms ago (docs/platform.md, "When a run is forgotten"). Without it, such a task waits for the report or for the bound of the executor's lease like any other. The price is up to 5.3 s, and the last call, for tasks with copies after a takeover with an executor that does not answer.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -330,12 +330,12 @@
   }
 }
 
-bool PoolScheduler::TakeoverUnresolved(const StepSpec& spec) const {
-  // If copies are allowed, a task may run again while an executor does not respond, but only after
-  // this owner has called that executor, which may report that the task has already ended.
+bool PoolScheduler::TakeoverUnresolved() const {
+  // This holds where copies are allowed, too: the executor may have listed the end of the task to
+  // the previous owner.
   return std::any_of(m_executors.begin(), m_executors.end(), [&](const auto& entry) {
     const ExecutorState& executor = entry.second;
-    return executor.inherited && !executor.reported && !(spec.copies_allowed && executor.contacted);
+    return executor.inherited && !executor.reported;
   });
 }
 
@@ -464,7 +464,7 @@
         const StepSpec& spec = job.spec(static_cast<int>(step));
         if (!Job::IsReady(occurrence.steps[step])) continue;
         // A previous owner may have started tasks on an executor that has not reported yet.
-        if (job.inherited() && TakeoverUnresolved(spec)) continue;
+        if (job.inherited() && TakeoverUnresolved()) continue;
         const bool needs_ticket = PolicyOf(job).needs_advice;
         if (!spec.long_running && unplaced.IsFull(spec, needs_ticket)) continue;
         if (!PlaceStep(job, number, static_cast<int>(step), placer, now)) {
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -346,7 +346,7 @@
   ///   them are too old, so that one of them may have ended long ago.
   std::optional<TimePoint> CopyDeadline(const Task& task, TimePoint now) const;
   /// @return whether a previous owner may have started tasks that this owner does not know of yet.
-  bool TakeoverUnresolved(const StepSpec& spec) const;
+  bool TakeoverUnresolved() const;
   /// @return the capacity of inherited executors on which unknown runs may exist.
   Resources UnresolvedCapacity() const;
   /// Charges an executor and the job's team with a run of a step.
