Play schedules of slow owners beside the property test

Runs go on for a while after their stop.

RunLedger learns two more sentences of the rule: without a disruption, an end counts as acknowledged 100 ms after it was listed; and no task starts more than a second after such an end or after its job was shown as completed, where copies are allowed, too.

--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -47,6 +47,7 @@
   bool delays_holds = false;   ///< Holds have no response and are carried out late.
   bool fails_everything = false;
   double slowdown_factor = 1;
+  Duration stop_grace{};  ///< How long a run that is stopped goes on.
   /// A late start is judged by the lease that the executor has by then, not by its own one.
   bool judges_starts_by_its_lease = false;
   /// Calls with an effect reach only the incarnation that they are meant for, as HttpExecutors
@@ -85,6 +86,12 @@
     highest = std::max(highest, order.run);
     for (auto it = m_running.begin(); it != m_running.end(); ++it) {
       if (it->task != order.task || it->run > order.run) continue;
+      if (stop_grace > Duration::zero()) {
+        if (it->ends_at <= m_now + stop_grace) break;
+        it->ends_at = m_now + stop_grace;
+        it->end = RunEnd::kStopped;
+        break;
+      }
       End(*it, RunEnd::kStopped, m_now);
       m_running.erase(it);
       break;
@@ -112,9 +119,15 @@
     if (terms.lease_until_ms) ExtendLease(*terms.lease_until_ms, now);
     while (!m_ended.empty() && m_ended.front().number <= terms.acknowledged_end) {
       const EndedRun& ended = m_ended.front();
-      if (m_ledger && ended.number > m_last_lapsed) m_ledger->OnAcknowledged(ended.task, ended.run);
+      if (m_ledger && ended.number > m_last_lapsed)
+        m_ledger->OnAcknowledged(ended.task, ended.run, now);
       m_ended.pop_front();
     }
+    return Report(now);
+  }
+
+  /// @return what the executor lists now.
+  ExecutorReport Report(TimePoint now) {
     ExecutorReport report{.incarnation_unix_ms = m_info.incarnation_unix_ms,
                           .clock_ms = ClockMs(now)};
     for (const Running& running : m_running) {
@@ -122,6 +135,9 @@
           {.task = running.task, .run = running.run, .percent = Percent(running, now)});
     }
     report.ended.assign(m_ended.begin(), m_ended.end());
+    for (const EndedRun& ended : m_ended) {
+      if (m_ledger && ended.number > m_last_lapsed) m_ledger->OnListed(ended.task, ended.run, now);
+    }
     return report;
   }
 
@@ -154,7 +170,7 @@
                          .end = fails_everything ? RunEnd::kFailed : RunEnd::kDone,
                          .long_running = spec.long_running,
                          .request = spec.request});
-    if (m_ledger) m_ledger->OnStarted(order.task, order.run, now);
+    if (m_ledger) m_ledger->OnStarted(order.task, order.run, now, spec.copies_allowed);
     return StartAnswer::kStarted;
   }
 
@@ -164,6 +180,9 @@
       for (const Running& running : m_running) End(running, RunEnd::kLeaseExpired, now);
       m_running.clear();
       m_last_lapsed = m_last_number;
+      for (const EndedRun& ended : m_ended) {
+        if (m_ledger) m_ledger->OnLeaseExpired(ended.task, ended.run, now);
+      }
     }
     for (auto it = m_running.begin(); it != m_running.end();) {
       if (it->long_running || it->ends_at > now) {
