Log in words why a start was not sent

`start_refused` had only the number of the answer, and 9 (not sent) stood for nine different reasons. In bursts an owner wrote it 2,500 times in 5 s, and nothing told whether its own queue, a relay or a connection was late.

The paths, and what planning does next.

Not sent (9); the executor stays usable, so it is chosen again at once: - the order waited for more than 1 s in the queue of the link.

Withdrawn (11, a new answer that the owner gives itself): - the run is not wanted any more: it was removed, and the answer has no effect, or its stop was ordered, and it is removed; - the owner may not order: nothing is planned until it may again; - no lease to start under: the executor is silent or has a token or an incarnation that it has not answered with.

The answers that a relay may give keep their numbers. The reason of a relayed start is sent in the field for errors that holds have, so entries of both versions understand each other; a start that an older relay could not send has no reason. Events and fields keep their names. Tests of Executors::Start compare the answer in its result as they compared the answer before.

--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -26,6 +26,44 @@
   return kFirstTimeForLateStart * (1 << std::min(earlier - 1, kMaxDoublings));
 }
 
+std::string_view NameOf(StartAnswer answer) {
+  switch (answer) {
+    case StartAnswer::kStarted:
+      return "started";
+    case StartAnswer::kFenced:
+      return "fenced";
+    case StartAnswer::kRunOutdated:
+      return "run outdated";
+    case StartAnswer::kDeadlinePassed:
+      return "lease over on arrival";
+    case StartAnswer::kInsufficientCapacity:
+      return "insufficient capacity";
+    case StartAnswer::kTicketInvalid:
+      return "ticket invalid";
+    case StartAnswer::kMalformed:
+      return "malformed";
+    case StartAnswer::kUnhealthy:
+      return "executor unhealthy";
+    case StartAnswer::kOtherExecutor:
+      return "other executor";
+    case StartAnswer::kNotSent:
+      return "not sent";
+    case StartAnswer::kUnknown:
+      return "unanswered";
+    case StartAnswer::kWithdrawn:
+      return "withdrawn";
+  }
+  return "";
+}
+
+/// @return the number of the answer, its name and the reason, for the log.
+std::string Describe(StartAnswer answer, std::string_view reason) {
+  std::string text = std::to_string(static_cast<int>(answer)) + ", ";
+  text += NameOf(answer);
+  if (!reason.empty()) text.append(": ").append(reason);
+  return text;
+}
+
 }  // namespace
 
 Resources PoolScheduler::CountedRequest(const Job& job, int step) const {
@@ -189,7 +227,8 @@
   if (Run* run = FindRun(order.task, order.run, order.executor)) run->copy_outstanding = true;
 }
 
-void PoolScheduler::OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now) {
+void PoolScheduler::OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now,
+                                  std::string_view reason) {
   ExecutorState* executor = FindExecutor(order.executor);
   Run* run = FindRun(order.task, order.run, order.executor);
   if (!executor || !run) return;
@@ -209,7 +248,7 @@
     case StartAnswer::kUnknown:
       // The run may have started, or may start later. It goes on if a report lists it. Otherwise
       // the task is placed again once the executor rejects the start.
-      Note("start_unanswered", order.task, order.run, order.executor);
+      Note("start_unanswered", order.task, order.run, order.executor, reason);
       run->copy_outstanding = true;
       if (run->listed) return;  // Copies of its start have no effect.
       run->fence_at =
@@ -235,10 +274,10 @@
       break;
     case StartAnswer::kDeadlinePassed:
     case StartAnswer::kNotSent:
+    case StartAnswer::kWithdrawn:
       break;
   }
-  Note("start_refused", order.task, order.run, order.executor,
-       std::to_string(static_cast<int>(answer)));
+  Note("start_refused", order.task, order.run, order.executor, Describe(answer, reason));
   RemoveRun(order.task, order.run, *executor);
   StopIncompleteGang(*FindJobMutable(order.task.job), order.task, now);
 }
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -160,7 +160,9 @@
   /// Records that an attempt to deliver a start had no response. OnStartAnswer follows.
   void OnStartUnanswered(const StartOrder& order);
   /// @param answer the result after all attempts.
-  void OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now);
+  /// @param reason for the log, if the executor has not answered.
+  void OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now,
+                     std::string_view reason = {});
   void OnStopAnswer(const StopOrder& order, StopAnswer answer, TimePoint now);
   /// Processes an executor's report.
   /// @param fences HoldTerms::fences of the call that returned it.
--- a/src/decisions/scheduling/types.h
+++ b/src/decisions/scheduling/types.h
@@ -205,8 +205,9 @@
   kMalformed,
   kUnhealthy,      ///< The executor is unhealthy and has not started the run.
   kOtherExecutor,  ///< Another executor uses the address now.
-  kNotSent,        ///< The order was not sent.
+  kNotSent,        ///< The order could not be sent to the executor in time.
   kUnknown,        ///< No response: the run may have started, or may start later.
+  kWithdrawn,      ///< The owner did not send the order, for a reason other than the executor.
 };
 
 /// Result of a stop order.
--- a/src/fleet/interfaces/executors.h
+++ b/src/fleet/interfaces/executors.h
@@ -60,13 +60,18 @@
   Duration timeout{};
 };
 
+struct StartResult {
+  scheduling::StartAnswer answer = scheduling::StartAnswer::kUnknown;
+  std::string error;  ///< Why the order was not sent or had no answer, for the log.
+};
+
 /// Calls to executors. All of them are idempotent.
 class Executors {
  public:
   virtual ~Executors() = default;
 
   virtual QCoro::Task<HoldResult> Hold(ExecutorAddress to, HoldCall call) = 0;
-  virtual QCoro::Task<scheduling::StartAnswer> Start(ExecutorAddress to, StartCall call) = 0;
+  virtual QCoro::Task<StartResult> Start(ExecutorAddress to, StartCall call) = 0;
   virtual QCoro::Task<scheduling::StopAnswer> Stop(ExecutorAddress to, scheduling::StopOrder order,
                                                    int64_t fencing_token, Duration timeout) = 0;
   /// Sets the share of its capacity that a task may use.
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -230,34 +230,55 @@
   }
 }
 
+std::optional<StartResult> ExecutorLink::Withhold(const StartOrder& order, TimePoint queued_at,
+                                                  TimePoint now) const {
+  const auto withdrawn = [](std::string_view reason) {
+    return StartResult{.answer = StartAnswer::kWithdrawn, .error = std::string(reason)};
+  };
+  const ExecutorState* state = m_owner.scheduler().FindExecutor(m_id);
+  if (!state || !m_owner.scheduler().IsWanted(order)) return withdrawn("not wanted any more");
+  if (!m_owner.may_order()) return withdrawn("the owner may not order");
+  if (!m_session.MakeStart(*state, now))
+    return withdrawn("the executor has no lease to start under");
+  if (now > order.send_before.value_or(now)) return withdrawn("the report it relies on is too old");
+  if (now - queued_at <= kMaxOrderAge) return std::nullopt;
+  return StartResult{.answer = StartAnswer::kNotSent, .error = "waited too long in the queue"};
+}
+
 QCoro::Task<void> ExecutorLink::Deliver(StartOrder order, TimePoint queued_at) {
   TimerService& timers = m_owner.context().timers;
-  StartAnswer answer = StartAnswer::kNotSent;
+  StartResult result;
   bool unanswered = false;
   for (int attempt = 0; attempt < kOrderAttempts; ++attempt) {
     const TimePoint now = timers.Now();
+    if (auto withheld = Withhold(order, queued_at, now)) {
+      // The first attempt may still be carried out.
+      if (!unanswered) result = std::move(*withheld);
+      break;
+    }
     const ExecutorState* state = m_owner.scheduler().FindExecutor(m_id);
-    if (!state || !m_owner.scheduler().IsWanted(order) || !m_owner.may_order()) break;
     const auto terms = m_session.MakeStart(*state, now);
-    if (!terms || now - queued_at > kMaxOrderAge || now > order.send_before.value_or(now)) break;
     m_owner.scheduler().OnLeaseExtended(m_id, now);
     const StartCall call{.order = order,
                          .lease_until_ms = terms->lease_until_ms,
                          .fencing_token = terms->fencing_token,
                          .timeout = kOrderTimeout};
-    answer = co_await m_owner.context().platform.executors.Start(
+    result = co_await m_owner.context().platform.executors.Start(
         Address(terms->incarnation_unix_ms), call);
     if (m_owner.ended().requested()) co_return;
     // The executor has restarted meanwhile, and knows the token of its new incarnation.
     const bool superseded = terms->fencing_token != m_session.fencing_token();
-    if (answer == StartAnswer::kFenced && superseded) answer = StartAnswer::kNotSent;
-    if (answer != StartAnswer::kUnknown) break;
+    if (result.answer == StartAnswer::kFenced && superseded) {
+      result.answer = StartAnswer::kWithdrawn;
+      result.error = "the token has been replaced";
+    }
+    if (result.answer != StartAnswer::kUnknown) break;
     unanswered = true;
     m_owner.scheduler().OnStartUnanswered(order);
   }
-  if (unanswered && !SettlesEarlierAttempts(answer)) answer = StartAnswer::kUnknown;
-  m_owner.scheduler().OnStartAnswer(order, answer, timers.Now());
-  if (answer != StartAnswer::kStarted) m_owner.ProcessUpdates();
+  if (unanswered && !SettlesEarlierAttempts(result.answer)) result.answer = StartAnswer::kUnknown;
+  m_owner.scheduler().OnStartAnswer(order, result.answer, timers.Now(), result.error);
+  if (result.answer != StartAnswer::kStarted) m_owner.ProcessUpdates();
 }
 
 QCoro::Task<void> ExecutorLink::Deliver(StopOrder order, TimePoint) {
--- a/src/fleet/pool/internal/executor_link.h
+++ b/src/fleet/pool/internal/executor_link.h
@@ -53,6 +53,9 @@
   QCoro::Task<void> Hold();
   QCoro::Task<void> SendOrders(Mailbox<QueuedOrder>& queue);
   QCoro::Task<void> Deliver(scheduling::StartOrder order, TimePoint queued_at);
+  /// @return the result of a start that must not be sent now; nothing if it may be sent.
+  std::optional<StartResult> Withhold(const scheduling::StartOrder& order, TimePoint queued_at,
+                                      TimePoint now) const;
   QCoro::Task<void> Deliver(scheduling::StopOrder order, TimePoint queued_at);
   QCoro::Task<void> Deliver(scheduling::PaceOrder order, TimePoint queued_at);
   void Queue(Order order);
--- a/src/fleet/relay/internal/relay_client.cc
+++ b/src/fleet/relay/internal/relay_client.cc
@@ -122,7 +122,7 @@
   co_return co_await m_direct.Hold(std::move(to), call);
 }
 
-QCoro::Task<StartAnswer> RelayClient::Start(ExecutorAddress to, StartCall call) {
+QCoro::Task<StartResult> RelayClient::Start(ExecutorAddress to, StartCall call) {
   const std::shared_ptr<RelaySession> session = FindSession(to.relay);
   if (!session) co_return co_await m_direct.Start(std::move(to), call);
   RelayedCall relayed{
@@ -131,9 +131,18 @@
       .fencing_token = call.fencing_token,
       .timeout = call.timeout,
       .order = RelayedStart{.order = call.order, .lease_until_ms = call.lease_until_ms}};
-  const auto result = co_await session->Call(std::move(relayed), call.timeout, nullptr);
-  co_return result ? ToOutcome(result->outcome, StartAnswer::kUnknown, StartAnswer::kUnknown)
-                   : StartAnswer::kUnknown;
+  auto carried = co_await session->Call(std::move(relayed), call.timeout, nullptr);
+  StartResult result;
+  if (!carried) {
+    result.error = "no result from the relay";
+  } else if (carried->payload_missing) {
+    result.answer = StartAnswer::kWithdrawn;
+    result.error = "the relay does not have the payload";
+  } else {
+    result.answer = ToOutcome(carried->outcome, StartAnswer::kUnknown, StartAnswer::kUnknown);
+    result.error = std::move(carried->error);
+  }
+  co_return result;
 }
 
 QCoro::Task<StopAnswer> RelayClient::Stop(ExecutorAddress to, scheduling::StopOrder order,
--- a/src/fleet/relay/internal/relay_server.cc
+++ b/src/fleet/relay/internal/relay_server.cc
@@ -247,7 +247,7 @@
       co_await Deliver(call, deadline - now, result);
     } else {
       result.outcome = NotSent(call.order);
-      result.error = "the order was not sent in time";
+      result.error = "the relay did not send it in time";
     }
     if (acquired) lane->Release();
     const auto current = m_lanes.find(call.to.address);
@@ -260,8 +260,9 @@
                             .lease_until_ms = start->lease_until_ms,
                             .fencing_token = call.fencing_token,
                             .timeout = timeout};
-      const StartAnswer answer = co_await m_executors.Start(call.to, order);
-      result.outcome = static_cast<int>(answer);
+      StartResult started = co_await m_executors.Start(call.to, order);
+      result.outcome = static_cast<int>(started.answer);
+      result.error = std::move(started.error);
     } else if (const auto* stop = std::get_if<scheduling::StopOrder>(&call.order)) {
       const auto answer = co_await m_executors.Stop(call.to, *stop, call.fencing_token, timeout);
       result.outcome = static_cast<int>(answer);
--- a/src/fleet/relay/relay_client.h
+++ b/src/fleet/relay/relay_client.h
@@ -38,7 +38,7 @@
   bool KnowsPayload(const EntryId& relay, const JobId& job) const;
 
   QCoro::Task<HoldResult> Hold(ExecutorAddress to, HoldCall call) override;
-  QCoro::Task<scheduling::StartAnswer> Start(ExecutorAddress to, StartCall call) override;
+  QCoro::Task<StartResult> Start(ExecutorAddress to, StartCall call) override;
   QCoro::Task<scheduling::StopAnswer> Stop(ExecutorAddress to, scheduling::StopOrder order,
                                            int64_t fencing_token, Duration timeout) override;
   QCoro::Task<Ret> Pace(ExecutorAddress to, scheduling::PaceOrder order, int64_t fencing_token,
--- a/src/fleet/tests/executor_link_test.cc
+++ b/src/fleet/tests/executor_link_test.cc
@@ -32,11 +32,11 @@
     HoldResult last = results.front();
     co_return last;
   }
-  QCoro::Task<StartAnswer> Start(ExecutorAddress, StartCall) override {
+  QCoro::Task<StartResult> Start(ExecutorAddress, StartCall) override {
     ++starts;
     if (on_start) on_start();
     if (response_time > Duration::zero()) co_await SleepFor(m_timers, response_time);
-    co_return StartAnswer::kUnknown;
+    co_return StartResult{.answer = start_answer};
   }
   QCoro::Task<scheduling::StopAnswer> Stop(ExecutorAddress, scheduling::StopOrder, int64_t,
                                            Duration) override {
@@ -50,6 +50,7 @@
   std::vector<HoldCall> holds;
   std::vector<TimePoint> held_at;
   int starts = 0;
+  StartAnswer start_answer = StartAnswer::kUnknown;
   std::function<void()> on_start;
   Duration response_time{};
 
--- a/src/fleet/tests/fleet_fixture.h
+++ b/src/fleet/tests/fleet_fixture.h
@@ -56,9 +56,7 @@
   class StubExecutors : public Executors {
    public:
     QCoro::Task<HoldResult> Hold(ExecutorAddress, HoldCall) override { co_return HoldResult{}; }
-    QCoro::Task<scheduling::StartAnswer> Start(ExecutorAddress, StartCall) override {
-      co_return scheduling::StartAnswer::kUnknown;
-    }
+    QCoro::Task<StartResult> Start(ExecutorAddress, StartCall) override { co_return StartResult{}; }
     QCoro::Task<scheduling::StopAnswer> Stop(ExecutorAddress, scheduling::StopOrder, int64_t,
                                              Duration) override {
       co_return scheduling::StopAnswer::kUnknown;
--- a/src/fleet/tests/handover_test.cc
+++ b/src/fleet/tests/handover_test.cc
@@ -21,8 +21,8 @@
                       .report = {.incarnation_unix_ms = 1000, .clock_ms = 1000}};
     co_return result;
   }
-  QCoro::Task<scheduling::StartAnswer> Start(ExecutorAddress, StartCall) override {
-    co_return scheduling::StartAnswer::kStarted;
+  QCoro::Task<StartResult> Start(ExecutorAddress, StartCall) override {
+    co_return StartResult{.answer = scheduling::StartAnswer::kStarted};
   }
   QCoro::Task<scheduling::StopAnswer> Stop(ExecutorAddress, scheduling::StopOrder, int64_t,
                                            Duration) override {
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -25,13 +25,13 @@
     HoldResult result{.outcome = HoldOutcome::kReported, .report = report};
     co_return result;
   }
-  QCoro::Task<StartAnswer> Start(ExecutorAddress to, StartCall call) override {
+  QCoro::Task<StartResult> Start(ExecutorAddress to, StartCall call) override {
     const std::string payload = call.order.definition->payload;
     most_parallel = std::max(most_parallel, ++m_in_progress[to.address]);
     if (delay > Duration::zero()) co_await SleepFor(m_timers, delay);
     --m_in_progress[to.address];
     payloads.push_back(payload);
-    co_return start_answer;
+    co_return StartResult{.answer = start_answer, .error = start_error};
   }
   QCoro::Task<StopAnswer> Stop(ExecutorAddress, scheduling::StopOrder, int64_t token,
                                Duration) override {
@@ -48,6 +48,7 @@
   HoldCall last_hold;
   scheduling::ExecutorReport report;
   StartAnswer start_answer = StartAnswer::kStarted;
+  std::string start_error;
   std::vector<std::string> payloads;
   int64_t last_token = 0;
   int last_percent = 0;
@@ -113,7 +114,7 @@
   StartAnswer Start(const scheduling::StartOrder& order, Duration timeout = 400ms) {
     const StartCall call{
         .order = order, .lease_until_ms = 5000, .fencing_token = 9, .timeout = timeout};
-    return Await(m_client.Start(m_to, call));
+    return Await(m_client.Start(m_to, call)).answer;
   }
 
   double SentBytes() {
@@ -273,8 +274,8 @@
       const scheduling::StartOrder order = Order(i);
       const StartCall call{
           .order = order, .lease_until_ms = 5000, .fencing_token = 9, .timeout = 900ms};
-      const StartAnswer answer = co_await m_client.Start(m_to, call);
-      if (answer == StartAnswer::kStarted) ++started;
+      const StartResult result = co_await m_client.Start(m_to, call);
+      if (result.answer == StartAnswer::kStarted) ++started;
     });
   }
   EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
@@ -282,6 +283,19 @@
   EXPECT_EQ(m_behind.most_parallel, 2);
 }
 
+// Guards against a log that does not tell why a start was not sent.
+TEST_F(RelayTest, ReasonWhyAStartWasNotSentReachesTheOwner) {
+  Connect();
+  m_behind.start_answer = StartAnswer::kNotSent;
+  m_behind.start_error = "not identified: no connection";
+  const scheduling::StartOrder order = Order(0);
+  const StartCall call{
+      .order = order, .lease_until_ms = 5000, .fencing_token = 9, .timeout = 400ms};
+  const StartResult result = Await(m_client.Start(m_to, call));
+  EXPECT_EQ(result.answer, StartAnswer::kNotSent);
+  EXPECT_EQ(result.error, m_behind.start_error);
+}
+
 // Guards against a start that a relay sends after the time that the owner gave it: orders that wait
 // behind others are not sent, and the owner is told so.
 TEST_F(RelayTest, OrderThatWaitsTooLongIsNotSent) {
@@ -294,8 +308,8 @@
       const scheduling::StartOrder order = Order(i);
       const StartCall call{
           .order = order, .lease_until_ms = 5000, .fencing_token = 9, .timeout = 150ms};
-      const StartAnswer answer = co_await m_client.Start(m_to, call);
-      answers.push_back(answer);
+      const StartResult result = co_await m_client.Start(m_to, call);
+      answers.push_back(result.answer);
     });
   }
   EXPECT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
@@ -361,7 +375,7 @@
   const StartCall start{
       .order = order, .lease_until_ms = 5000, .fencing_token = 9, .timeout = 400ms};
   // Shows how long a message takes.
-  EXPECT_EQ(CallBeforePause(m_client.Start(m_to, start), 0ms), StartAnswer::kStarted);
+  EXPECT_EQ(CallBeforePause(m_client.Start(m_to, start), 0ms).answer, StartAnswer::kStarted);
   const HoldCall call{.lease_until_ms = 5000,
                       .fencing_token = 9,
                       .acknowledged_end = 57,
--- a/src/platform/internal/executors.cc
+++ b/src/platform/internal/executors.cc
@@ -195,7 +195,8 @@
   co_return result;
 }
 
-QCoro::Task<StartAnswer> HttpExecutors::Start(fleet::ExecutorAddress to, fleet::StartCall call) {
+QCoro::Task<fleet::StartResult> HttpExecutors::Start(fleet::ExecutorAddress to,
+                                                     fleet::StartCall call) {
   const scheduling::StartOrder& order = call.order;
   bj::object body{{"task", FormatTask(order.task)},
                   {"runId", order.run},
@@ -206,27 +207,38 @@
   if (!order.ticket.empty()) body["ticket"] = order.ticket;
   const auto response =
       co_await PostToIncarnation(to, kStart, call.fencing_token, bj::serialize(body), call.timeout);
+  fleet::StartResult result;
   if (!response.ok()) {
     const bool sent = response.code() != ErrorCode::kUnavailable;
-    co_return sent ? StartAnswer::kUnknown : StartAnswer::kNotSent;
+    result.answer = sent ? StartAnswer::kUnknown : StartAnswer::kNotSent;
+    result.error = std::string(response.ret().message());
+    co_return result;
   }
   switch (response->status) {
     case 200:
-      co_return StartAnswer::kStarted;
+      result.answer = StartAnswer::kStarted;
+      break;
     case 400:
-      co_return StartAnswer::kMalformed;
+      result.answer = StartAnswer::kMalformed;
+      break;
     case 429:
     case 503:
-      co_return StartAnswer::kUnhealthy;
+      result.answer = StartAnswer::kUnhealthy;
+      break;
     case kStatusMisdirectedRequest:
-      co_return StartAnswer::kOtherExecutor;
+      result.answer = StartAnswer::kOtherExecutor;
+      break;
     case 409: {
       const std::string reason = RefusalReason(response.value());
-      co_return FindByWireName(kStartRefusals, reason).value_or(StartAnswer::kUnknown);
+      result.answer = FindByWireName(kStartRefusals, reason).value_or(StartAnswer::kUnknown);
+      if (result.answer == StartAnswer::kUnknown) result.error = reason;
+      break;
     }
     default:
-      co_return StartAnswer::kUnknown;
+      result.error = "the executor returned HTTP status " + std::to_string(response->status);
+      break;
   }
+  co_return result;
 }
 
 QCoro::Task<StopAnswer> HttpExecutors::Stop(fleet::ExecutorAddress to, scheduling::StopOrder order,
--- a/src/platform/internal/executors.h
+++ b/src/platform/internal/executors.h
@@ -24,8 +24,7 @@
   explicit HttpExecutors(http::Client& client) : m_client(client) {}
 
   QCoro::Task<fleet::HoldResult> Hold(fleet::ExecutorAddress to, fleet::HoldCall call) override;
-  QCoro::Task<scheduling::StartAnswer> Start(fleet::ExecutorAddress to,
-                                             fleet::StartCall call) override;
+  QCoro::Task<fleet::StartResult> Start(fleet::ExecutorAddress to, fleet::StartCall call) override;
   QCoro::Task<scheduling::StopAnswer> Stop(fleet::ExecutorAddress to, scheduling::StopOrder order,
                                            int64_t fencing_token, Duration timeout) override;
   QCoro::Task<Ret> Pace(fleet::ExecutorAddress to, scheduling::PaceOrder order,
--- a/src/platform/tests/executors_test.cc
+++ b/src/platform/tests/executors_test.cc
@@ -108,7 +108,9 @@
     m_tasks.Spawn([&]() -> QCoro::Task<void> {
       const fleet::StartCall call{
           .order = order, .lease_until_ms = 9000, .fencing_token = 7, .timeout = 2s};
-      answer = co_await m_executors.Start(m_process.address(incarnation), call);
+      const fleet::StartResult result =
+          co_await m_executors.Start(m_process.address(incarnation), call);
+      answer = result.answer;
     });
     EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
     return answer.value_or(StartAnswer::kUnknown);
