Limit the starts for executors that they cannot be sent to in time

In bursts of all queues on small entries, planning ordered at once what could not be sent, on the same executor: 2,500 times in 5 s on one owner. Owners fell seconds behind, holds and their responses were late, leases ran out and tasks ran twice or jobs waited (TWICE, LOST).

An executor whose holds are answered stays usable while starts to it wait for more than a second, or find no identified connection. Its capacity is free again as soon as the starts are dropped, so the next planning, 8 ms later, filled it again.

StartWindow is a congestion window for each executor, kept by the scheduler. There is no limit until a start was not sent in time. From then on at most two wait to be sent, and one more with each start that the executor answers, which doubles their number with each round; above 64 the limit is lifted. Starts that are not sent without an answer between them are followed by pauses of 0, 50, 100, up to 800 ms. A queue that is dropped as a whole counts once. Starts that were withdrawn for another reason do not count, and members of a gang count as one, so that a gang is not kept from starting.

The smallest limit is what a link sends at a time on direct connections. The longest pause is half of the time in which jobs of short tasks are due. In calm nothing changes: a link that keeps up is given all of a burst at once, and one start that was not sent is ordered again at the next planning.

The simulated pool answers "withdrawn" where a link has no terms, as a link does.

Not shown: the effect on a whole deployment in bursts.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "decisions/scheduling/start_window.h"
 #include "decisions/scheduling/types.h"
 
 namespace citronferry::scheduling {
@@ -81,6 +82,7 @@
   std::vector<RunRef> runs;
   TimePoint lease_bound{};  ///< No run is left after this time, unless the lease is extended.
   TimePoint no_capacity_until{};
+  StartWindow start_window;
   int best_effort_pace_percent = 100;  ///< Capacity share allowed to best-effort tasks.
   ExecutorHealth health;
 
--- a/src/decisions/scheduling/internal/executor_state.cc
+++ b/src/decisions/scheduling/internal/executor_state.cc
@@ -51,6 +51,7 @@
   if (info.leaving || cordoned) return false;
   if (awaits_token || answered_fences < required_fences) return false;
   if (health.quarantined(now) || now < no_capacity_until) return false;
+  if (start_window.paused(now)) return false;
   // During probation, one task at a time.
   return !health.on_probation() || runs.empty();
 }
--- a/src/decisions/scheduling/internal/placement.cc
+++ b/src/decisions/scheduling/internal/placement.cc
@@ -99,6 +99,8 @@
   int best_reluctance = 0;
   for (Candidate& candidate : m_candidates) {
     if (candidate.reserved && !spec.long_running) continue;
+    // A gang starts together, so its members count as one.
+    if (candidate.starts_left <= 0 && !spec.gang_scheduled) continue;
     if (!Fits(request, candidate.free)) continue;
     if (!rack.empty() && candidate.executor->info.rack != rack) continue;
     if (!Allows(candidate, placement)) continue;
@@ -120,6 +122,7 @@
   }
   if (!best) return nullptr;
   best->free -= request;
+  if (best->starts_left > 0) --best->starts_left;
   if (spec.long_running) {
     best->free_when_drained -= request;
     ++best->long_running_tasks;
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -259,6 +259,7 @@
 
 void PoolScheduler::Advance(TimePoint now, int64_t unix_ms) {
   for (auto& [id, executor] : m_executors) {
+    m_plan_needed |= executor.start_window.TakeEndOfPause(now);
     // The executor may have listed ends in a response that this owner was too slow to receive, so
     // it is asked once more after its lease.
     const bool asked = executor.unanswered_call_at >= executor.lease_bound;
@@ -365,11 +366,23 @@
                           .free = executor.free(),
                           .free_when_drained = executor.info.capacity - LongRunningUse(executor),
                           .long_running_tasks = executor.long_running_tasks(),
+                          .starts_left = StartsLeft(executor),
                           .slowness = m_durations->SlownessOf(executor.info)});
   }
   return candidates;
 }
 
+int PoolScheduler::StartsLeft(const ExecutorState& executor) const {
+  const int limit = executor.start_window.limit();
+  if (!executor.start_window.limited()) return limit;
+  const auto waiting =
+      std::count_if(executor.runs.begin(), executor.runs.end(), [&](const RunRef& ref) {
+        const Run* run = FindRun(ref.task, ref.run, executor.info.id);
+        return run && run->phase == RunPhase::kOrdered && !run->copy_outstanding;
+      });
+  return std::max(0, limit - static_cast<int>(waiting));
+}
+
 bool PoolScheduler::NeedsPlacement(const Task& task, const StepSpec& spec, TimePoint now) const {
   if (task.done) return false;
   if (task.runs.empty()) return true;
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -134,6 +134,7 @@
   executor.applied_end = executor.durable_end = 0;
   m_durations->run_times().executors().Forget(id.view());
   executor.link_durable = false;
+  executor.start_window = {};
   executor.reported = executor.taken_over = false;
   executor.lease_uncertain = true;
   executor.incarnation_known_at = now;
@@ -227,11 +228,21 @@
   if (Run* run = FindRun(order.task, order.run, order.executor)) run->copy_outstanding = true;
 }
 
+void PoolScheduler::NoteSending(ExecutorState& executor, const Run& run, StartAnswer answer,
+                                TimePoint now) {
+  if (answer == StartAnswer::kNotSent) return executor.start_window.OnNotSent(run.ordered_at, now);
+  // Another start may be ordered, which no other event would cause.
+  m_plan_needed |= executor.start_window.limited() && m_waiting_cores > 0;
+  const bool answered = answer != StartAnswer::kUnknown && answer != StartAnswer::kWithdrawn;
+  if (answered) executor.start_window.OnSent();
+}
+
 void PoolScheduler::OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now,
                                   std::string_view reason) {
   ExecutorState* executor = FindExecutor(order.executor);
   Run* run = FindRun(order.task, order.run, order.executor);
   if (!executor || !run) return;
+  NoteSending(*executor, *run, answer, now);
   switch (answer) {
     case StartAnswer::kStarted:
       if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
--- a/src/decisions/scheduling/placement.h
+++ b/src/decisions/scheduling/placement.h
@@ -1,6 +1,7 @@
 #ifndef CITRONFERRY_DECISIONS_SCHEDULING_PLACEMENT_H_
 #define CITRONFERRY_DECISIONS_SCHEDULING_PLACEMENT_H_
 
+#include <limits>
 #include <optional>
 #include <span>
 #include <tuple>
@@ -20,7 +21,9 @@
   Resources free_when_drained;  ///< Once all tasks that are not long-running have ended.
   int long_running_tasks = 0;
   bool reserved = false;  ///< Kept for a long-running task that does not fit yet.
-  double slowness = 1;    ///< Factor by which the executor is slower than the pool.
+  /// Starts that may be ordered in this round.
+  int starts_left = std::numeric_limits<int>::max();
+  double slowness = 1;  ///< Factor by which the executor is slower than the pool.
 };
 
 /// Placement constraints of a step.
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -308,6 +308,8 @@
   void StopIncompleteGang(Job& job, const TaskId& missing, TimePoint now);
   /// @param reason for the log.
   void OrderStop(const TaskId& task, Run& run, std::string_view reason, TimePoint now);
+  /// Records whether a start could be sent to its executor.
+  void NoteSending(ExecutorState& executor, const Run& run, StartAnswer answer, TimePoint now);
   /// Fences starts that have not begun in the time that they were given.
   void FenceLateStarts(ExecutorState& executor, TimePoint now);
   /// Repeats unconfirmed stops.
@@ -322,6 +324,8 @@
             std::string_view detail = {});
 
   std::vector<Candidate> MakeCandidates(TimePoint now);
+  /// @return how many starts may be ordered beside those that wait to be sent.
+  int StartsLeft(const ExecutorState& executor) const;
   std::vector<PlanningJob> RankJobs(TimePoint now) const;
   /// Orders waiting jobs of equal priority and timeliness by their teams. Within a team, the order
   /// is not changed.
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -39,12 +39,13 @@
       : m_info(std::move(info)), m_ledger(ledger) {}
 
   const ExecutorDescription& info() const { return m_info; }
-  bool reachable = true;       ///< Whether calls arrive and responses come back.
-  bool loses_answers = false;  ///< Calls arrive, but their responses are lost.
-  bool delays_starts = false;  ///< Starts have no response and are carried out late.
-  bool loses_starts = false;   ///< Starts do not arrive and have no response.
-  bool delays_stops = false;   ///< Stops have no response and are carried out late.
-  bool delays_holds = false;   ///< Holds have no response and are carried out late.
+  bool reachable = true;         ///< Whether calls arrive and responses come back.
+  bool loses_answers = false;    ///< Calls arrive, but their responses are lost.
+  bool delays_starts = false;    ///< Starts have no response and are carried out late.
+  bool loses_starts = false;     ///< Starts do not arrive and have no response.
+  bool takes_no_starts = false;  ///< No connection for starts is identified, so none is sent.
+  bool delays_stops = false;     ///< Stops have no response and are carried out late.
+  bool delays_holds = false;     ///< Holds have no response and are carried out late.
   bool fails_everything = false;
   double slowdown_factor = 1;
   /// A late start is judged by the lease that the executor has by then, not by its own one.
@@ -264,6 +265,8 @@
   static constexpr Duration kLateness = 700ms;
   /// Time after which the network drops a start for an executor that cannot be reached.
   static constexpr Duration kMaxHeldTime = 2s;
+  /// Time after which a link drops an order that it has not sent.
+  static constexpr Duration kMaxOrderAge = 1s;
 
   explicit FakePool(int executors,
                     Resources capacity = {.cpu_millicores = 16000, .memory_mb = 64000}) {
@@ -305,6 +308,7 @@
   void TakeOver(const PoolHandover* handover = nullptr) {
     m_epoch = ++m_version;
     m_sessions.clear();
+    m_queues.clear();
     m_scheduler = std::make_unique<PoolScheduler>(
         SchedulerOptions{
             .epoch = m_epoch, .taken_over_at = m_now, .timeliness_share = timeliness_share},
@@ -370,6 +374,7 @@
         m_scheduler->OnNoAnswer(id, m_now);
       }
     }
+    SendQueuedStarts();
     m_scheduler->Advance(m_now, unix_ms + ToMilliseconds(m_now.time_since_epoch()));
     ExecuteOrders(m_scheduler->Plan(m_now));
     Commit();
@@ -410,14 +415,12 @@
 
   void ExecuteOrders(const Orders& orders) {
     for (const StartOrder& start : orders.starts) {
-      m_scheduler->OnLeaseExtended(start.executor, m_now);
       ++starts[start.task];
-      StartAnswer answer = Deliver(start);
-      if (answer == StartAnswer::kUnknown && repeat_starts) {
-        m_scheduler->OnStartUnanswered(start);
-        answer = Deliver(start);
+      if (time_per_start > Duration::zero()) {
+        m_queues[start.executor].orders.push_back({.order = start, .queued_at = m_now});
+      } else {
+        Send(start);
       }
-      m_scheduler->OnStartAnswer(start, answer, m_now);
     }
     for (const StopOrder& stop : orders.stops) {
       const int64_t token = SessionOf(stop.executor).fencing_token();
@@ -474,6 +477,10 @@
   size_t commit_rows = 98;     ///< Most rows of a commit.
   int link_writes = 0;         ///< Rows of links that were committed.
   bool repeat_starts = false;
+  /// Time that a link takes for each start. Starts wait in the queue of their link meanwhile, and
+  /// are dropped after kMaxOrderAge.
+  Duration time_per_start{};
+  int unsent_starts = 0;
   /// Time without a response after which the owner takes an executor for unresponsive.
   Duration call_timeout{};
   bool registry_lags = false;  ///< Changes of executors do not reach the registry.
@@ -516,16 +523,60 @@
     bool held_by_network = false;     ///< It arrives once the executor can be reached.
   };
 
+  struct QueuedStart {
+    StartOrder order;
+    TimePoint queued_at{};
+  };
+
+  /// Starts that wait for the link to one executor.
+  struct LinkQueue {
+    std::deque<QueuedStart> orders;
+    TimePoint busy_until{};
+  };
+
   ExecutorSession& SessionOf(const ExecutorId& id) {
     return m_sessions.try_emplace(id, m_epoch, kLease).first->second;
   }
 
+  void Send(const StartOrder& start) {
+    m_scheduler->OnLeaseExtended(start.executor, m_now);
+    StartAnswer answer = Deliver(start);
+    if (answer == StartAnswer::kUnknown && repeat_starts) {
+      m_scheduler->OnStartUnanswered(start);
+      answer = Deliver(start);
+    }
+    if (answer == StartAnswer::kNotSent) ++unsent_starts;
+    m_scheduler->OnStartAnswer(start, answer, m_now);
+  }
+
+  void SendQueuedStarts() {
+    for (auto& [id, queue] : m_queues) {
+      queue.busy_until = std::max(queue.busy_until, m_now - kStep);
+      while (!queue.orders.empty() && queue.busy_until < m_now) {
+        const QueuedStart queued = std::move(queue.orders.front());
+        queue.orders.pop_front();
+        if (!m_scheduler->IsWanted(queued.order)) {
+          m_scheduler->OnStartAnswer(queued.order, StartAnswer::kWithdrawn, m_now);
+          continue;
+        }
+        if (m_now - queued.queued_at > kMaxOrderAge) {
+          ++unsent_starts;
+          m_scheduler->OnStartAnswer(queued.order, StartAnswer::kNotSent, m_now);
+          continue;
+        }
+        queue.busy_until += time_per_start;
+        Send(queued.order);
+      }
+    }
+  }
+
   StartAnswer Deliver(const StartOrder& order) {
     FakeExecutor& executor = m_executors.at(order.executor);
     ExecutorSession& session = SessionOf(order.executor);
     const ExecutorState* state = m_scheduler->FindExecutor(order.executor);
     const auto terms = state ? session.MakeStart(*state, m_now) : std::nullopt;
-    if (!terms) return StartAnswer::kNotSent;
+    if (!terms) return StartAnswer::kWithdrawn;
+    if (executor.takes_no_starts) return StartAnswer::kNotSent;
     if (executor.loses_starts) {
       if (!executor.calls_are_bound) session.OnUnanswered();
       return StartAnswer::kUnknown;
@@ -612,6 +663,7 @@
   int64_t m_version = 0;  ///< Of the store; increases with each commit.
   int64_t m_epoch = 0;
   std::map<ExecutorId, ExecutorSession> m_sessions;
+  std::map<ExecutorId, LinkQueue> m_queues;
   std::map<ExecutorId, FakeExecutor> m_executors;
   std::map<ExecutorId, ExecutorDescription> m_registry;
   std::map<ExecutorId, TimePoint> m_reached_at;
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -278,7 +278,9 @@
   }
   if (unanswered && !SettlesEarlierAttempts(result.answer)) result.answer = StartAnswer::kUnknown;
   m_owner.scheduler().OnStartAnswer(order, result.answer, timers.Now(), result.error);
-  if (result.answer != StartAnswer::kStarted) m_owner.ProcessUpdates();
+  if (result.answer != StartAnswer::kStarted || m_owner.scheduler().plan_needed()) {
+    m_owner.ProcessUpdates();
+  }
 }
 
 QCoro::Task<void> ExecutorLink::Deliver(StopOrder order, TimePoint) {
--- a/src/fleet/tests/executor_link_test.cc
+++ b/src/fleet/tests/executor_link_test.cc
@@ -192,6 +192,23 @@
   EXPECT_LE(longest, 2u);
 }
 
+// Guards against planning without bound what cannot be sent (LOST, TWICE in bursts): no connection
+// to the executor is identified, and each planning sent all of its tasks again.
+TEST_F(ExecutorLinkTest, StartsThatAreNotSentAreNotRepeatedWithoutBound) {
+  scheduling::StepSpec step{.replicas = 100, .request = {.cpu_millicores = 120}};
+  const scheduling::JobDefinition job{
+      .id = JobId("a"), .queue = QueueName("queue"), .payload = "work", .steps = {step}};
+  m_rows.Apply({.puts = {{.key = JobKey(m_pool, job.id), .value = EncodeJob(job)}}});
+  m_scripted.results = {Reported(kIncarnation)};
+  m_scripted.start_answer = StartAnswer::kNotSent;
+  std::optional<TimePoint> began_at;
+  ASSERT_TRUE(RunOwnerUntil([&] {
+    if (!began_at && m_scripted.starts > 0) began_at = m_timers->Now();
+    return began_at && m_timers->Now() - *began_at > 2s;
+  }));
+  EXPECT_LE(m_scripted.starts, 100 + 20);
+}
+
 // Guards against a second attempt of a start that reaches the next incarnation of an executor
 // (TWICE, review/3).
 TEST_F(ExecutorLinkTest, StartIsNotRepeatedAfterARestart) {
