--- a/src/fleet/tests/executor_link_test.cc
+++ b/src/fleet/tests/executor_link_test.cc
@@ -32,11 +32,11 @@
     HoldResult last = results.front();
     co_return last;
   }
-  QCoro::Task<StartAnswer> Start(ExecutorAddress, StartCall) override {
+  QCoro::Task<StartResult> Start(ExecutorAddress, StartCall) override {
     ++starts;
     if (on_start) on_start();
     if (response_time > Duration::zero()) co_await SleepFor(m_timers, response_time);
-    co_return start_answer;
+    co_return StartResult{.answer = start_answer};
   }
   QCoro::Task<scheduling::StopAnswer> Stop(ExecutorAddress, scheduling::StopOrder, int64_t,
                                            Duration) override {
@@ -212,6 +212,23 @@
   EXPECT_LE(m_scripted.starts, 10);
 }
 
+// Guards against planning without bound what cannot be sent (LOST, TWICE in bursts): no connection
+// to the executor is identified, and each planning sent all of its tasks again.
+TEST_F(ExecutorLinkTest, StartsThatAreNotSentAreNotRepeatedWithoutBound) {
+  scheduling::StepSpec step{.replicas = 100, .request = {.cpu_millicores = 120}};
+  const scheduling::JobDefinition job{
+      .id = JobId("a"), .queue = QueueName("queue"), .payload = "work", .steps = {step}};
+  m_rows.Apply({.puts = {{.key = JobKey(m_pool, job.id), .value = EncodeJob(job)}}});
+  m_scripted.results = {Reported(kIncarnation)};
+  m_scripted.start_answer = StartAnswer::kNotSent;
+  std::optional<TimePoint> began_at;
+  ASSERT_TRUE(RunOwnerUntil([&] {
+    if (!began_at && m_scripted.starts > 0) began_at = m_timers->Now();
+    return began_at && m_timers->Now() - *began_at > 2s;
+  }));
+  EXPECT_LE(m_scripted.starts, 100 + 20);
+}
+
 // Guards against a second attempt of a start that reaches the next incarnation of an executor
 // (TWICE, review/3).
 TEST_F(ExecutorLinkTest, StartIsNotRepeatedAfterARestart) {
--- a/src/platform/internal/executors.cc
+++ b/src/platform/internal/executors.cc
@@ -202,7 +202,8 @@
   co_return ReadHold(exchange.response);
 }
 
-QCoro::Task<StartAnswer> HttpExecutors::Start(fleet::ExecutorAddress to, fleet::StartCall call) {
+QCoro::Task<fleet::StartResult> HttpExecutors::Start(fleet::ExecutorAddress to,
+                                                     fleet::StartCall call) {
   const scheduling::StartOrder& order = call.order;
   bj::object body{{"task", FormatTask(order.task)},
                   {"runId", order.run},
@@ -214,35 +215,45 @@
   const std::string text = bj::serialize(body);
   const BoundExchange exchange =
       co_await PostToIncarnation(to, kStart, call.fencing_token, text, call.timeout);
+  fleet::StartResult result;
   if (exchange.identification) {
-    const StartAnswer answer = ReadStartAnswer(*exchange.identification);
-    const bool refused = answer != StartAnswer::kStarted && answer != StartAnswer::kUnknown;
-    co_return refused ? answer : StartAnswer::kNotSent;
-  }
-  if (!exchange.response.ok()) {
+    result = ReadStart(*exchange.identification);
+    const bool refused =
+        result.answer != StartAnswer::kStarted && result.answer != StartAnswer::kUnknown;
+    if (!refused) {
+      result.answer = StartAnswer::kNotSent;
+      result.error = "another incarnation has answered";
+    }
+  } else if (exchange.response.ok()) {
+    result = ReadStart(exchange.response.value());
+  } else {
     const bool sent = exchange.response.code() != ErrorCode::kUnavailable;
-    co_return sent ? StartAnswer::kUnknown : StartAnswer::kNotSent;
+    result.answer = sent ? StartAnswer::kUnknown : StartAnswer::kNotSent;
+    result.error = std::string(exchange.response.ret().message());
   }
-  co_return ReadStartAnswer(exchange.response.value());
+  co_return result;
 }
 
-StartAnswer HttpExecutors::ReadStartAnswer(const http::Response& response) {
+fleet::StartResult HttpExecutors::ReadStart(const http::Response& response) {
   switch (response.status) {
     case 200:
-      return StartAnswer::kStarted;
+      return {.answer = StartAnswer::kStarted};
     case 400:
-      return StartAnswer::kMalformed;
+      return {.answer = StartAnswer::kMalformed};
     case 429:
     case 503:
-      return StartAnswer::kUnhealthy;
+      return {.answer = StartAnswer::kUnhealthy};
     case kStatusMisdirectedRequest:
-      return StartAnswer::kOtherExecutor;
+      return {.answer = StartAnswer::kOtherExecutor};
     case 409: {
       const std::string reason = RefusalReason(response);
-      return FindByWireName(kStartRefusals, reason).value_or(StartAnswer::kUnknown);
+      const auto answer = FindByWireName(kStartRefusals, reason);
+      if (answer) return {.answer = *answer};
+      return {.answer = StartAnswer::kUnknown, .error = reason};
     }
     default:
-      return StartAnswer::kUnknown;
+      return {.answer = StartAnswer::kUnknown,
+              .error = "the executor returned HTTP status " + std::to_string(response.status)};
   }
 }
 
--- a/src/platform/tests/executors_test.cc
+++ b/src/platform/tests/executors_test.cc
@@ -119,7 +119,9 @@
                                            scheduling::JobDefinition{.payload = "p"})};
     const fleet::StartCall call{
         .order = order, .lease_until_ms = 9000, .fencing_token = 7, .timeout = timeout};
-    co_return co_await m_executors.Start(m_process.address(incarnation), call);
+    const fleet::StartResult result =
+        co_await m_executors.Start(m_process.address(incarnation), call);
+    co_return result.answer;
   }
 
   static void ProcessEventsFor(Duration duration) {
