Let a successor wait for unanswered orders of its predecessor

A successor of a pool's owner ordered an instance with a higher token while an order of its predecessor without a response could still be carried out, up to 12 s later.

The successor did not know of these orders: only the memory of the predecessor had them. The owner row now names the instances from before an order is sent until it can no longer be carried out. An order is sent only after a commit with the name is durable, so a successor also learns of the orders of an owner that was killed before the response. The row is replaced with each commit and on condition of its version, so this costs no further call, and late writes of a deposed owner have no effect. The bid repeats the names, since the bidder may be lost before its first commit. The successor gives these instances no order for 12 s and holder_change_interval; others are ordered as before. It repeats no order with the token of its predecessor: two holders must not share one. A row of an older build does not have the field; its successor then orders no instance for the same time.

A commit that is awaited begins right after the one in flight: a call of Wake during a commit only starts another one if the state has changed.

SuccessorWaitsForUnansweredOrdersOfItsPredecessor took the pool over by hand, with a row that only the test wrote. The other new tests failed, too: the successor of a killed owner and that of an older build gave orders, and the row did not name the instance when its order was sent or when the successor had bid.

--- a/src/fleet/fleet_context.h
+++ b/src/fleet/fleet_context.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -79,8 +80,10 @@
   std::string relay_key;    ///< Public key of the owning entry in Z85; see FleetOptions.
   bool loading = false;     ///< The owner has not read the state of the pool yet.
   EntryId successor;        ///< After a release: the entry that bids first; empty for any.
-  int64_t version = 0;      ///< Version of the row; 0 if there is no row.
-  TimePoint changed_at{};   ///< When this entry saw the row change.
+  /// Instances with an order that may still be carried out; nothing if that is not known.
+  std::optional<std::vector<InstanceId>> ordered_instances;
+  int64_t version = 0;     ///< Version of the row; 0 if there is no row.
+  TimePoint changed_at{};  ///< When this entry saw the row change.
 };
 
 /// An entry that can make calls to executors for the owners of pools.
--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -222,6 +222,11 @@
   if (!record.relay_key.empty()) encoded["key"] = record.relay_key;
   if (record.loading) encoded["loading"] = true;
   if (!record.successor.empty()) encoded["successor"] = record.successor.str();
+  if (record.ordered_instances) {
+    bj::array instances;
+    for (const InstanceId& id : *record.ordered_instances) instances.emplace_back(id.str());
+    encoded["ordered"] = std::move(instances);
+  }
   return bj::serialize(encoded);
 }
 
@@ -235,6 +240,10 @@
                      .relay_key = reader.Text("key"),
                      .loading = reader.Boolean("loading"),
                      .successor = EntryId(reader.Text("successor"))};
+  if (const bj::array* instances = reader.Array("ordered")) {
+    record.ordered_instances.emplace();
+    for (const bj::value& id : *instances) record.ordered_instances->emplace_back(json::AsText(id));
+  }
   if (!reader.ok()) return reader.ret();
   return record;
 }
--- a/src/fleet/pool/internal/instance_directory.cc
+++ b/src/fleet/pool/internal/instance_directory.cc
@@ -49,6 +49,7 @@
   const Instance* listed = Find(id);
   if (!listed || listed->pool != pool || now - m_read_at > kMaxListAgeForOrders) return false;
   const bool up = listed->state == InstanceState::kUp;
+  if (now < m_unknown_until) return false;
   const auto found = m_orders.find(id);
   if (found == m_orders.end()) return up;
   const LastOrder& last = found->second;
@@ -60,6 +61,34 @@
   return repeats && kind == InstanceOrderKind::kMaintenance;
 }
 
+void InstanceDirectory::InheritOrders(const std::optional<std::vector<InstanceId>>& instances,
+                                      TimePoint taken_over_at) {
+  const TimePoint until =
+      taken_over_at + kLateOrderWindow + m_context.options.holder_change_interval;
+  if (!instances) {
+    m_unknown_until = until;
+    return;
+  }
+  for (const InstanceId& id : *instances) {
+    m_orders[id] = {.late_until = until, .blocked_until = until};
+  }
+}
+
+std::optional<std::vector<InstanceId>> InstanceDirectory::OrderedInstances() const {
+  const TimePoint now = m_context.timers.Now();
+  if (now < m_unknown_until) return std::nullopt;
+  std::set<InstanceId> ordered(m_announced.begin(), m_announced.end());
+  for (const auto& [id, order] : m_orders) {
+    if (order.pending || now < order.late_until) ordered.insert(id);
+  }
+  return std::vector<InstanceId>(ordered.begin(), ordered.end());
+}
+
+bool InstanceDirectory::HasUnansweredOrder(const InstanceId& id) const {
+  const auto found = m_orders.find(id);
+  return found != m_orders.end() && m_context.timers.Now() < found->second.late_until;
+}
+
 int64_t InstanceDirectory::BeginOrder(const InstanceId& id, InstanceOrderKind kind,
                                       int64_t newest_version) {
   LastOrder& order = m_orders[id];
--- a/src/fleet/pool/internal/instance_directory.h
+++ b/src/fleet/pool/internal/instance_directory.h
@@ -2,6 +2,9 @@
 #define CITRONFERRY_FLEET_POOL_INTERNAL_INSTANCE_DIRECTORY_H_
 
 #include <map>
+#include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "fleet/fleet_context.h"
@@ -36,6 +39,17 @@
   ///   and not on the basis of an outdated list.
   /// @param pool pool of the owner.
   bool MayOrder(const InstanceId& id, const PoolName& pool, InstanceOrderKind kind) const;
+  /// Records what the row of the previous owner tells about its orders. None is given to these
+  /// instances while one of the previous owner may still be carried out, nor too soon after that.
+  /// @param instances nothing blocks all instances for this time.
+  /// @param taken_over_at after the last order of the previous owner.
+  void InheritOrders(const std::optional<std::vector<InstanceId>>& instances,
+                     TimePoint taken_over_at);
+  /// @return the instances with an order that may still be carried out, or that is announced, for
+  ///   the owner row; nothing if that is not known.
+  std::optional<std::vector<InstanceId>> OrderedInstances() const;
+  /// @return whether an order of this owner to the instance may still be carried out.
+  bool HasUnansweredOrder(const InstanceId& id) const;
   /// Records an order that is about to be sent.
   /// @param newest_version version of the last commit of the owner.
   /// @return the fencing token: that of the unanswered order that this one repeats, or
@@ -52,6 +66,8 @@
   const Instance* Find(const InstanceId& id) const;
 
  private:
+  friend class OrderAnnouncement;
+
   FleetContext& m_context;
   struct PoolMembership {
     PoolName pool;
@@ -66,18 +82,38 @@
     bool accepted = false;  // A list that was requested later shows the effect.
     TimePoint ended_at{};
     TimePoint late_until{};     // An unanswered copy may be carried out until then.
-    TimePoint blocked_until{};  // After a refusal that shows another holder.
+    TimePoint blocked_until{};  // After an order of another holder.
   };
 
   std::vector<Instance> m_instances;
   std::map<InstanceId, PoolMembership> m_memberships;
   std::map<InstanceId, LastOrder> m_orders;
-  TimePoint m_read_at{};       // When the request for the current list was sent.
-  TimePoint m_requested_at{};  // When the last request was sent.
+  std::multiset<InstanceId> m_announced;
+  TimePoint m_unknown_until{};  // Orders of the previous owner may be carried out on any instance.
+  TimePoint m_read_at{};        // When the request for the current list was sent.
+  TimePoint m_requested_at{};   // When the last request was sent.
   bool m_loaded = false;
   bool m_invalidated = true;
 };
 
+/// Lets the owner row name an instance from before an order is sent until its outcome is recorded.
+class OrderAnnouncement {
+ public:
+  OrderAnnouncement(InstanceDirectory& directory, InstanceId instance)
+      : m_directory(directory), m_instance(std::move(instance)) {
+    m_directory.m_announced.insert(m_instance);
+  }
+  ~OrderAnnouncement() { m_directory.m_announced.extract(m_instance); }
+  OrderAnnouncement(const OrderAnnouncement&) = delete;
+  OrderAnnouncement& operator=(const OrderAnnouncement&) = delete;
+
+  const InstanceId& instance() const { return m_instance; }
+
+ private:
+  InstanceDirectory& m_directory;
+  InstanceId m_instance;
+};
+
 }  // namespace citronferry::fleet
 
 #endif  // CITRONFERRY_FLEET_POOL_INTERNAL_INSTANCE_DIRECTORY_H_
--- a/src/fleet/pool/internal/instance_mover.cc
+++ b/src/fleet/pool/internal/instance_mover.cc
@@ -130,14 +130,23 @@
 
 QCoro::Task<void> InstanceMover::MoveInstance(InstanceId instance, scheduling::ExecutorId executor,
                                               PoolName to) {
-  if (!m_owner.may_order()) co_return;
-  if (!m_directory.MayOrder(instance, m_owner.pool(), InstanceOrderKind::kMove)) co_return;
+  const InstanceOrderKind kind = InstanceOrderKind::kMove;
+  if (!m_owner.may_order() || !m_directory.MayOrder(instance, m_owner.pool(), kind)) co_return;
   // Keeps the scheduler from placing new tasks on the executor during the call.
   m_owner.scheduler().SetCordoned(executor, true);
+  m_departures[instance] = {.to = to, .ordered_at = m_context.timers.Now(), .uncertain = true};
+  const OrderAnnouncement announcement(m_directory, instance);
+  const bool announced = co_await m_owner.AnnounceOrder(announcement, kind);
+  // Its maintenance may have begun meanwhile.
+  if (!announced || m_is_reserved(instance)) {
+    m_departures.erase(instance);
+    if (!m_is_reserved(instance)) m_owner.scheduler().SetCordoned(executor, false);
+    co_return;
+  }
   m_departures[instance] = {.to = to, .ordered_at = m_context.timers.Now()};
-  const OrderIssuer issuer{.holder = m_context.options.name,
-                           .fencing_token = m_directory.BeginOrder(
-                               instance, InstanceOrderKind::kMove, m_owner.newest_version())};
+  const OrderIssuer issuer{
+      .holder = m_context.options.name,
+      .fencing_token = m_directory.BeginOrder(instance, kind, m_owner.newest_version())};
   const InstanceOrderOutcome outcome =
       co_await m_context.platform.instances.Move(instance, to, issuer);
   m_directory.EndOrder(instance, outcome);
--- a/src/fleet/pool/internal/instance_mover.h
+++ b/src/fleet/pool/internal/instance_mover.h
@@ -33,7 +33,7 @@
   struct Departure {
     PoolName to;
     TimePoint ordered_at{};
-    bool uncertain = false;  ///< The order may still take effect; see kLateOrderWindow.
+    bool uncertain = false;  ///< The order may still be sent, or take effect: kLateOrderWindow.
   };
 
   /// Updates the surge forecast, removes finished departures and computes the demand of the pool.
--- a/src/fleet/pool/internal/maintenance_coordinator.cc
+++ b/src/fleet/pool/internal/maintenance_coordinator.cc
@@ -249,7 +249,9 @@
     if (!acquired.ok() || m_owner.ended().requested()) co_return;
     operation.slot_acquired = true;
   }
-  if (!m_owner.may_order() || !m_directory.MayOrder(instance, m_owner.pool(), kind)) co_return;
+  const OrderAnnouncement announcement(m_directory, instance);
+  const bool announced = co_await m_owner.AnnounceOrder(announcement, kind);
+  if (!announced) co_return;
   const OrderIssuer issuer{
       .holder = m_context.options.name,
       .fencing_token = m_directory.BeginOrder(instance, kind, m_owner.newest_version())};
--- a/src/fleet/pool/internal/owner_elector.cc
+++ b/src/fleet/pool/internal/owner_elector.cc
@@ -84,11 +84,15 @@
   const std::optional<OwnerView> replaced = co_await WaitForVacancy();
   if (!replaced) co_return MakeOk();
   const TimePoint asked_at = m_context.timers.Now();
+  // The bid replaces the row, and its owner may be lost before its first commit.
+  std::optional<std::vector<InstanceId>> ordered_instances = replaced->ordered_instances;
+  if (replaced->version == 0) ordered_instances.emplace();  // The pool had no owner.
   const RowKey key = OwnerKey(m_pool);
   const OwnerRecord record{.holder = m_context.options.name,
                            .incarnation = m_context.options.incarnation,
                            .relay_key = PublicRelayKey(m_context.options),
-                           .loading = true};
+                           .loading = true,
+                           .ordered_instances = ordered_instances};
   Transaction bid{.conditions = {{.key = key, .version = replaced->version}},
                   .puts = {{.key = key, .value = EncodeOwner(record)}}};
   const TransactionResult result =
@@ -111,10 +115,13 @@
        {"noticed_ms_ago", ToMilliseconds(asked_at - replaced->changed_at)}});
   m_context.owners[m_pool] = {.holder = m_context.options.name,
                               .incarnation = m_context.options.incarnation,
+                              .ordered_instances = ordered_instances,
                               .version = result.version,
                               .changed_at = m_context.timers.Now()};
   ++m_context.owned_pools;
-  Ownership ownership{.epoch = result.version, .acquired_at = asked_at};
+  Ownership ownership{.epoch = result.version,
+                      .acquired_at = asked_at,
+                      .ordered_instances = std::move(ordered_instances)};
   if (replaced->holder.empty() && replaced->version != 0) {
     ownership.released_version = replaced->version;
   }
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -65,13 +65,13 @@
 PoolOwner::PoolOwner(FleetContext& context, PoolName pool, Ownership ownership)
     : m_context(context),
       m_pool(std::move(pool)),
-      m_ownership(ownership),
+      m_ownership(std::move(ownership)),
       m_directory(context),
       m_jobs(
           MakeTableFeed(context.platform.rows, JobsTable(m_pool), JobPartitions(), kFollowWait)) {
   m_scheduler = std::make_unique<PoolScheduler>(
       scheduling::SchedulerOptions{
-          .epoch = ownership.epoch,
+          .epoch = m_ownership.epoch,
           .taken_over_at = context.timers.Now(),
           .lease_bound = LeaseBound(context.options.executor_lease),
           .longest_lease_bound = LeaseBound(context.options.longest_executor_lease),
@@ -79,9 +79,10 @@
           .start_bytes_per_second =
               context.options.link_mbps * kBytesPerMegabit * kStartShareOfLink},
       scheduling::MakeDurationModel(context.options.run_times));
-  m_committer =
-      std::make_unique<StateCommitter>(context, m_pool, ownership.epoch, ownership.acquired_at,
-                                       *m_scheduler, [this] { OnCommitted(); });
+  m_directory.InheritOrders(m_ownership.ordered_instances, m_ownership.acquired_at);
+  m_committer = std::make_unique<StateCommitter>(
+      context, m_pool, m_ownership.epoch, m_ownership.acquired_at, *m_scheduler,
+      [this] { OnCommitted(); }, &m_directory);
   m_maintenance = std::make_unique<MaintenanceCoordinator>(*this, m_directory);
   m_mover = std::make_unique<InstanceMover>(*this, m_directory, [this](const InstanceId& instance) {
     return m_maintenance->IsInMaintenance(instance);
@@ -104,6 +105,17 @@
   return executor && now - executor->listed_at.value_or(now) >= kSettleTime;
 }
 
+QCoro::Task<bool> PoolOwner::AnnounceOrder(const OrderAnnouncement& announcement,
+                                           InstanceOrderKind kind) {
+  const InstanceId& instance = announcement.instance();
+  if (!may_order() || !m_directory.MayOrder(instance, m_pool, kind)) co_return false;
+  // An order without a response has been announced before.
+  if (m_directory.HasUnansweredOrder(instance)) co_return true;
+  const bool durable = co_await m_committer->CommitAgain();
+  if (!durable || !may_order()) co_return false;
+  co_return m_directory.MayOrder(instance, m_pool, kind);
+}
+
 void PoolOwner::End(Ret reason) {
   if (m_ended.requested()) return;
   m_reason = std::move(reason);
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -35,6 +35,9 @@
   TimePoint acquired_at{};  ///< When the bid was sent.
   /// Version of the owner row that the bid replaced, if the previous owner had released the pool.
   std::optional<int64_t> released_version;
+  /// Instances with an order of an earlier owner that may still be carried out; nothing if the row
+  /// of the previous owner did not tell.
+  std::optional<std::vector<InstanceId>> ordered_instances = std::vector<InstanceId>();
 };
 
 /// Owner of a pool: passes events to the scheduler of the pool, sends its orders to executors and
@@ -65,6 +68,10 @@
   /// and the move to this pool was ordered by another holder.
   /// @return whether an instance has been in this pool long enough to be given orders.
   bool HasSettled(const Instance& instance) const;
+  /// Makes durable that an order to an instance of this pool is about to be sent, so that a
+  /// successor waits until it can no longer be carried out.
+  /// @return whether the order may be sent now; see InstanceDirectory::MayOrder.
+  QCoro::Task<bool> AnnounceOrder(const OrderAnnouncement& announcement, InstanceOrderKind kind);
   /// Plans after events, sends the orders and wakes the committer.
   void ProcessUpdates();
   /// Makes the owner commit soon, also if its state has not changed: a commit gives a new version.
--- a/src/fleet/pool/internal/state_committer.cc
+++ b/src/fleet/pool/internal/state_committer.cc
@@ -35,23 +35,28 @@
 
 StateCommitter::StateCommitter(FleetContext& context, PoolName pool, int64_t epoch,
                                TimePoint acquired_at, scheduling::PoolScheduler& scheduler,
-                               std::function<void()> on_committed)
+                               std::function<void()> on_committed,
+                               const InstanceDirectory* directory)
     : m_context(context),
       m_pool(std::move(pool)),
       m_scheduler(scheduler),
       m_on_committed(std::move(on_committed)),
+      m_directory(directory),
       m_version(epoch),
       m_valid_until(acquired_at + kOwnerLease) {}
 
 Transaction StateCommitter::MakeTransaction(const CommitBatch& batch,
                                             const Release* release) const {
   const RowKey owner = OwnerKey(m_pool);
+  std::optional<std::vector<InstanceId>> ordered_instances{std::in_place};
+  if (m_directory) ordered_instances = m_directory->OrderedInstances();
   const OwnerRecord record{.holder = release ? std::string() : m_context.options.name,
                            .incarnation = m_context.options.incarnation,
                            .commit = m_commit,
                            .relay_key = PublicRelayKey(m_context.options),
                            .loading = !m_loaded,
-                           .successor = release ? release->successor : EntryId()};
+                           .successor = release ? release->successor : EntryId(),
+                           .ordered_instances = std::move(ordered_instances)};
   Transaction transaction{.conditions = {{.key = owner, .version = m_version}},
                           .puts = {{.key = owner, .value = EncodeOwner(record)}}};
   if (release) {
@@ -163,7 +168,32 @@
   }
 }
 
+QCoro::Task<bool> StateCommitter::CommitAgain() {
+  if (m_ended) co_return false;
+  const auto awaited = std::make_shared<AwaitedCommit>();
+  awaited->number = m_commit + 1;
+  m_awaited.push_back(awaited);
+  Wake();
+  const bool durable = co_await awaited->durable.Wait();
+  co_return durable;
+}
+
+void StateCommitter::ResumeAwaited(bool durable) {
+  std::erase_if(m_awaited, [&](const std::shared_ptr<AwaitedCommit>& awaited) {
+    if (durable && awaited->number > m_commit) return false;
+    awaited->durable.Set(durable);
+    return true;
+  });
+}
+
 QCoro::Task<Ret> StateCommitter::Run(StopSignal& stop) {
+  const Ret ret = co_await CommitUntilStopped(stop);
+  m_ended = true;
+  ResumeAwaited(false);
+  co_return ret;
+}
+
+QCoro::Task<Ret> StateCommitter::CommitUntilStopped(StopSignal& stop) {
   Subscription woken = stop.Subscribe([this] { Wake(); });
   while (!stop.requested()) {
     CommitBatch batch = m_scheduler.TakeCommit(kMaxBatchRows);
@@ -176,10 +206,11 @@
     }
     m_scheduler.OnCommitted(batch);
     OnRunTimesStored(batch, learned_runs);
+    ResumeAwaited(true);
     m_on_committed();
     co_await SleepFor(m_context.timers, kCommitGap, &stop);
     while (m_wake.size() > 0) co_await m_wake.Next();
-    if (!m_scheduler.has_dirty() && !stop.requested()) {
+    if (!m_scheduler.has_dirty() && m_awaited.empty() && !stop.requested()) {
       co_await m_wake.Next(m_context.timers, kRenewInterval);
     }
   }
--- a/src/fleet/pool/internal/state_committer.h
+++ b/src/fleet/pool/internal/state_committer.h
@@ -2,12 +2,14 @@
 #define CITRONFERRY_FLEET_POOL_INTERNAL_STATE_COMMITTER_H_
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "decisions/scheduling/pool_scheduler.h"
 #include "fleet/fleet_context.h"
+#include "fleet/pool/internal/instance_directory.h"
 #include "fleet/tables.h"
 #include "supervision/awaitables.h"
 
@@ -21,8 +23,10 @@
   /// @param epoch version of the owner row that the bid wrote.
   /// @param acquired_at when the bid was sent.
   /// @param on_committed called after each commit.
+  /// @param directory has the orders that the owner row names; nullptr if no order is given.
   StateCommitter(FleetContext& context, PoolName pool, int64_t epoch, TimePoint acquired_at,
-                 scheduling::PoolScheduler& scheduler, std::function<void()> on_committed);
+                 scheduling::PoolScheduler& scheduler, std::function<void()> on_committed,
+                 const InstanceDirectory* directory = nullptr);
 
   /// Commits dirty state, or just renews the lease when there is none, until the ownership is lost
   /// or a stop is requested.
@@ -36,6 +40,9 @@
   }
   /// Notifies the committer of dirty state.
   void Wake() { m_wake.Push(0); }
+  /// Waits for the next commit that begins after this call.
+  /// @return whether it is durable; false if the committer has ended.
+  QCoro::Task<bool> CommitAgain();
   /// Commits the remaining dirty state and releases the ownership with the last commit.
   /// @param successor the entry that should bid first; empty for any.
   /// @param handover returns the rows of the handover, which the last commit writes; called once
@@ -56,6 +63,16 @@
     std::vector<std::string> handover;
   };
 
+  /// A call of CommitAgain that has not returned.
+  struct AwaitedCommit {
+    int64_t number = 0;
+    OneShot<bool> durable;
+  };
+
+  /// Commits until the ownership is lost or a stop is requested; see Run.
+  QCoro::Task<Ret> CommitUntilStopped(StopSignal& stop);
+  /// Ends the calls of CommitAgain that wait for the current commit or an earlier one.
+  void ResumeAwaited(bool durable);
   /// Commits a batch, repeating the transaction while its outcome is unknown.
   /// @param release clears the holder in the owner row; nullptr to stay the owner.
   /// @param stop ends the repetitions.
@@ -73,12 +90,15 @@
   PoolName m_pool;
   scheduling::PoolScheduler& m_scheduler;
   std::function<void()> m_on_committed;
+  const InstanceDirectory* m_directory;
   int64_t m_version;     // Of the owner row.
   int64_t m_commit = 0;  // Number of the current commit, counted from the takeover.
   TimePoint m_valid_until;
   bool m_loaded = false;
   int64_t m_stored_runs = 0;  // Number of learned runs in the stored rows of run times.
   std::optional<TimePoint> m_run_times_stored_at;
+  std::vector<std::shared_ptr<AwaitedCommit>> m_awaited;
+  bool m_ended = false;
   Mailbox<int> m_wake;
 };
 
--- a/src/fleet/tables.h
+++ b/src/fleet/tables.h
@@ -88,6 +88,9 @@
   std::string relay_key;    ///< Public key of the owning entry in Z85; may be empty.
   bool loading = false;     ///< The owner has not read the state of the pool yet.
   EntryId successor;        ///< After a release: the entry that bids first; empty for any.
+  /// Instances with an order that may still be carried out. Nothing if that is not known: the row
+  /// was written by a build that does not have this field, or its owner replaced such a row.
+  std::optional<std::vector<InstanceId>> ordered_instances;
 };
 
 /// Maintenance of an instance that the platform has accepted, and from which the instance was not
--- a/src/fleet/tests/instance_orders_test.cc
+++ b/src/fleet/tests/instance_orders_test.cc
@@ -4,9 +4,11 @@
 
 #include "fleet/pool/internal/instance_directory.h"
 #include "fleet/pool/internal/maintenance_slots.h"
+#include "fleet/pool/internal/owner_elector.h"
 #include "fleet/pool/internal/pool_owner.h"
 #include "fleet/tables.h"
 #include "fleet/tests/fleet_fixture.h"
+#include "fleet/watch/watchers.h"
 
 namespace citronferry::fleet {
 namespace {
@@ -41,10 +43,12 @@
   QCoro::Task<Outcome> Move(InstanceId instance, PoolName, OrderIssuer issuer) override {
     orders.push_back({instance, issuer.holder, issuer.fencing_token, true});
     if (on_move) on_move();
+    co_await SleepFor(m_timers, order_delay);
     co_return NextOutcome();
   }
   QCoro::Task<Outcome> StartMaintenance(InstanceId instance, int64_t, OrderIssuer issuer) override {
     orders.push_back({instance, issuer.holder, issuer.fencing_token, false});
+    co_await SleepFor(m_timers, order_delay);
     co_return NextOutcome();
   }
 
@@ -52,6 +56,7 @@
   bool list_unavailable = false;
   std::deque<Duration> list_delays;  ///< Of the next responses, one each.
   std::deque<Outcome> outcomes;      ///< Of the next orders, one each; then kAccepted.
+  Duration order_delay{};            ///< Of the responses to orders.
   std::function<void()> on_move;
   std::vector<ReceivedOrder> orders;
 
@@ -91,16 +96,38 @@
     m_stop.Request();
     return ProcessEventsUntil([this] { return m_scope.running() == 0; });
   }
+  // Lets another process take the pool over. Its entry has the same name, so it bids at once, also
+  // if the owner has not released the pool, and that owner is lost at its next commit.
+  void StartSuccessor() {
+    m_successor_context.configuration.Set(m_owner_context.configuration.Get());
+    ObserveOwner(m_successor_context, m_rows.At(OwnerKey(m_pool)));
+    m_successor_context.owners_seen_since = m_timers->Now();
+    m_scope.Spawn([this]() -> QCoro::Task<void> {
+      OwnerElector elector(m_successor_context, m_pool, m_successor_stop);
+      while (!m_successor_stop.requested()) static_cast<void>(co_await elector.Run());
+    });
+  }
+  // Runs the successor for a time that is long enough for its first order, and stops both owners.
+  void RunSuccessor() {
+    StartSuccessor();
+    Await(Wait(3s));
+    EXPECT_EQ(m_successor_context.owned_pools, 1);
+    m_successor_stop.Request();
+    EXPECT_TRUE(Stop());
+  }
+  OwnerRecord owner_row() { return DecodeOwner(m_rows.At(OwnerKey(m_pool)).value).value(); }
   void AnnounceWave() {
-    m_owner_context.waves.Set(
-        {{1,
-          {.number = 1, .instances = {m_instance}, .time_left_at_start = 10s, .max_at_once = 1}}});
+    const MaintenanceWave wave{
+        .number = 1, .instances = {m_instance}, .time_left_at_start = 10s, .max_at_once = 1};
+    m_owner_context.waves.Set({{1, wave}});
+    m_successor_context.waves.Set({{1, wave}});
   }
   // Makes the other pool ask for instances.
   void RequestMoves() {
-    m_owner_context.demands.Set(
-        {{m_other,
-          {.pool = m_other, .instances = 1, .cores_per_instance = 16, .wanted_cores = 64}}});
+    const scheduling::PoolDemand demand{
+        .pool = m_other, .instances = 1, .cores_per_instance = 16, .wanted_cores = 64};
+    m_owner_context.demands.Set({{m_other, demand}});
+    m_successor_context.demands.Set({{m_other, demand}});
   }
   bool WaitForOrders(size_t count) {
     return ProcessEventsUntil([&] { return m_recorder.orders.size() >= count; });
@@ -118,8 +145,15 @@
                               .clients = m_clients};
   FleetContext m_owner_context{
       .options = m_options, .timers = *m_timers, .metrics = m_metrics, .platform = m_services};
+  FleetOptions m_successor_options{
+      .name = "entry-1", .incarnation = "life-2", .holder_change_interval = 200ms};
+  FleetContext m_successor_context{.options = m_successor_options,
+                                   .timers = *m_timers,
+                                   .metrics = m_metrics,
+                                   .platform = m_services};
   std::unique_ptr<PoolOwner> m_owner;
   StopSignal m_stop;
+  StopSignal m_successor_stop;
   TaskScope m_scope;
 };
 
@@ -190,19 +224,78 @@
   ASSERT_TRUE(WaitForOrders(1));
   ASSERT_TRUE(Stop());
   const int64_t token = m_recorder.orders.front().token;
-  StopSignal stop;
+  RunSuccessor();
+  for (const ReceivedOrder& order : m_recorder.orders) EXPECT_EQ(order.token, token);
+}
+
+// Guards against the same when the previous owner is killed before the response to its order.
+TEST_F(InstanceOrdersTest, SuccessorWaitsForAnOrderOfAKilledOwner) {
+  m_recorder.order_delay = 4s;
+  RequestMoves();
+  Start();
+  ASSERT_TRUE(WaitForOrders(1));
+  RunSuccessor();
+  EXPECT_EQ(m_recorder.orders.size(), 1u);
+}
+
+// Guards against a successor of an owner with an unanswered order that is lost before its first
+// commit: its bid must name the instance.
+TEST_F(InstanceOrdersTest, BidNamesTheInstancesOfThePreviousOwner) {
+  m_recorder.outcomes.assign(100, Outcome::kUnknown);
+  RequestMoves();
+  Start();
+  ASSERT_TRUE(WaitForOrders(1));
+  ASSERT_TRUE(Stop());
+  const int64_t released = m_rows.At(OwnerKey(m_pool)).version;
+  m_rows.faults.assign(100, FakeRowStore::Fault::kRefuse);
+  m_rows.faults.front() = FakeRowStore::Fault::kNone;  // For the bid.
+  StartSuccessor();
+  ASSERT_TRUE(ProcessEventsUntil([&] { return m_rows.At(OwnerKey(m_pool)).version > released; }));
+  EXPECT_EQ(owner_row().commit, 0);
+  EXPECT_EQ(owner_row().ordered_instances, std::vector{m_instance});
+  m_successor_stop.Request();
+}
+
+// Guards against a successor that orders no instance at all because its predecessor had orders
+// without a response.
+TEST_F(InstanceOrdersTest, SuccessorOrdersOtherInstancesAtOnce) {
+  const InstanceId other("m-2");
+  m_recorder.outcomes = {Outcome::kUnknown};
+  RequestMoves();
+  Start();
+  ASSERT_TRUE(WaitForOrders(1));
+  ASSERT_TRUE(Stop());
+  m_recorder.listed.push_back({.id = other, .pool = m_pool, .state = InstanceState::kUp});
+  RunSuccessor();
+  ASSERT_EQ(m_recorder.orders.size(), 2u);
+  EXPECT_EQ(m_recorder.orders.back().instance, other);
+}
+
+// Guards against orders after an owner of an older build, whose row does not name instances.
+TEST_F(InstanceOrdersTest, SuccessorOfAnOlderBuildWaitsForItsOrders) {
   const OwnerRecord record{.holder = "entry-1", .incarnation = "life-1"};
-  const Row released = m_rows.At(OwnerKey(m_pool));
-  const int64_t epoch =
-      m_rows.Apply({.puts = {{.key = OwnerKey(m_pool), .value = EncodeOwner(record)}}}).version;
-  PoolOwner successor(
-      m_owner_context, m_pool,
-      {.epoch = epoch, .acquired_at = m_timers->Now(), .released_version = released.version});
-  m_scope.Spawn([&]() -> QCoro::Task<void> { static_cast<void>(co_await successor.Run(stop)); });
+  m_rows.Apply({.puts = {{.key = OwnerKey(m_pool), .value = EncodeOwner(record)}}});
+  m_rows.timers = m_timers.get();
+  RequestMoves();
+  StartSuccessor();
   Await(Wait(3s));
-  stop.Request();
-  EXPECT_TRUE(Stop());
-  for (const ReceivedOrder& order : m_recorder.orders) EXPECT_EQ(order.token, token);
+  EXPECT_EQ(m_successor_context.owned_pools, 1);
+  EXPECT_TRUE(m_recorder.orders.empty());
+  EXPECT_GT(owner_row().commit, 0);
+  EXPECT_FALSE(owner_row().ordered_instances) << "the next owner has to wait, too";
+  m_successor_stop.Request();
+}
+
+// Guards against an order of which a successor does not know, because its owner was killed before a
+// commit named the instance.
+TEST_F(InstanceOrdersTest, OrderIsSentOnlyOnceItIsDurable) {
+  std::optional<std::vector<InstanceId>> durable;
+  m_recorder.on_move = [&] { durable = owner_row().ordered_instances; };
+  RequestMoves();
+  Start();
+  ASSERT_TRUE(WaitForOrders(1));
+  ASSERT_TRUE(Stop());
+  EXPECT_EQ(durable, std::vector{m_instance});
 }
 
 // Guards against a move that is planned with an outdated list: while the list cannot be read, the
--- a/src/fleet/watch/internal/owner_watcher.cc
+++ b/src/fleet/watch/internal/owner_watcher.cc
@@ -117,6 +117,7 @@
           .relay_key = record->relay_key,
           .loading = record->loading,
           .successor = record->successor,
+          .ordered_instances = record->ordered_instances,
           .version = row.version,
           .changed_at = context.timers.Now()};
 }
