--- a/src/fleet/watch/internal/owner_watcher.cc
+++ b/src/fleet/watch/internal/owner_watcher.cc
@@ -118,6 +118,7 @@
           .address = record->address,
           .loading = record->loading,
           .successor = record->successor,
+          .ordered_instances = record->ordered_instances,
           .version = row.version,
           .changed_at = context.timers.Now()};
 }
