Keep the slot of an instance whose unanswered order may take effect

A wave could have more instances in maintenance than it allows (rule LIMIT). When an order for maintenance had no response and was carried out, its executor left the registry, which was taken for a crash: the operation ended and its slot was released while the instance was in maintenance, and the next instance of the wave was ordered.

The operation and its slot are now kept while an order without a response may be carried out, and while the instance is listed in maintenance. After that it ends as before, and the next executor is drained and ordered again, which the platform accepts without effect.

--- a/src/fleet/pool/internal/maintenance_coordinator.cc
+++ b/src/fleet/pool/internal/maintenance_coordinator.cc
@@ -222,6 +222,9 @@
   }
   const ExecutorState* executor = m_owner.scheduler().FindExecutor(operation.executor);
   if (!executor || !executor->listed || executor->info.leaving) {
+    // An order without a response may be why it has gone, or may still be carried out.
+    const bool in_maintenance = listed->state == InstanceState::kInMaintenance;
+    if (in_maintenance || m_directory.HasUnansweredOrder(instance)) co_return;
     // The executor has crashed or is leaving; the next one on this instance is drained again.
     if (operation.slot_acquired) {
       static_cast<void>(co_await m_slots.Release(operation.wave, instance, false));
--- a/src/fleet/tests/instance_orders_test.cc
+++ b/src/fleet/tests/instance_orders_test.cc
@@ -48,6 +48,7 @@
   }
   QCoro::Task<Outcome> StartMaintenance(InstanceId instance, int64_t, OrderIssuer issuer) override {
     orders.push_back({instance, issuer.holder, issuer.fencing_token, false});
+    if (on_maintenance) on_maintenance(instance);
     co_await SleepFor(m_timers, order_delay);
     co_return NextOutcome();
   }
@@ -58,6 +59,7 @@
   std::deque<Outcome> outcomes;      ///< Of the next orders, one each; then kAccepted.
   Duration order_delay{};            ///< Of the responses to orders.
   std::function<void()> on_move;
+  std::function<void(const InstanceId&)> on_maintenance;
   std::vector<ReceivedOrder> orders;
 
  private:
@@ -74,6 +76,38 @@
 /// The owner of a standby pool.
 class InstanceOrdersTest : public FleetTest {
  protected:
+  /// Executors that run nothing.
+  class IdleExecutors : public StubExecutors {
+   public:
+    explicit IdleExecutors(TimerService& timers) : m_timers(timers) {}
+    QCoro::Task<HoldResult> Hold(ExecutorAddress to, HoldCall call) override {
+      co_await SleepFor(m_timers, std::min<Duration>(call.wait, 20ms), call.abort);
+      if (gone.contains(to.address)) co_return HoldResult{};
+      HoldResult result{.outcome = HoldOutcome::kReported,
+                        .report = {.incarnation_unix_ms = 1, .clock_ms = 1}};
+      co_return result;
+    }
+
+    std::set<std::string> gone;  ///< Addresses that do not respond.
+
+   private:
+    TimerService& m_timers;
+  };
+
+  // Gives each instance an executor of the same name.
+  void ListExecutors() {
+    ExecutorListing executors;
+    for (Instance& instance : m_recorder.listed) {
+      instance.executor = scheduling::ExecutorId(instance.id.str());
+      executors[instance.executor] = {.id = instance.executor,
+                                      .pool = m_pool,
+                                      .address = instance.id.str(),
+                                      .capacity = {.cpu_millicores = 16000, .memory_mb = 64000},
+                                      .incarnation_unix_ms = 1};
+    }
+    m_owner_context.registry.Set(executors);
+  }
+
   InstanceOrdersTest() {
     m_options.holder_change_interval = 200ms;
     m_owner_context.configuration.Set(
@@ -137,9 +171,10 @@
   const PoolName m_other{"other"};
   const InstanceId m_instance{"m-1"};
   RecordingInstances m_recorder{*m_timers};
+  IdleExecutors m_idle{*m_timers};
   PlatformServices m_services{.rows = m_rows,
                               .announcements = m_announcements,
-                              .executors = m_executors,
+                              .executors = m_idle,
                               .adviser = m_adviser,
                               .instances = m_recorder,
                               .clients = m_clients};
@@ -298,6 +333,39 @@
   EXPECT_EQ(durable, std::vector{m_instance});
 }
 
+// Guards against more instances in maintenance than a wave allows (LIMIT): an order without a
+// response was carried out, and the slot of the instance was released because its executor had
+// gone.
+TEST_F(InstanceOrdersTest, SlotIsKeptWhileAnUnansweredOrderTakesEffect) {
+  m_owner_context.configuration.Set({.version = 1, .pools = {{.name = m_pool}}});
+  m_recorder.listed.push_back(
+      {.id = InstanceId("m-2"), .pool = m_pool, .state = InstanceState::kUp});
+  ListExecutors();
+  m_owner_context.waves.Set({{1,
+                              {.number = 1,
+                               .instances = {m_instance, InstanceId("m-2")},
+                               .time_left_at_start = 10s,
+                               .max_at_once = 1}}});
+  m_recorder.outcomes.assign(100, Outcome::kBusy);
+  m_recorder.outcomes.front() = Outcome::kUnknown;
+  m_recorder.on_maintenance = [this](const InstanceId& id) {
+    m_recorder.on_maintenance = nullptr;
+    for (Instance& instance : m_recorder.listed) {
+      if (instance.id != id) continue;
+      instance.state = InstanceState::kInMaintenance;
+      instance.executor = {};
+    }
+    m_idle.gone.insert(id.str());
+    ExecutorListing left = m_owner_context.registry.Get();
+    left.erase(scheduling::ExecutorId(id.str()));
+    m_owner_context.registry.Set(left);
+  };
+  Start();
+  ASSERT_TRUE(WaitForOrders(1));
+  Await(Wait(3s));
+  EXPECT_EQ(m_recorder.orders.size(), 1u);
+}
+
 // Guards against a move that is planned with an outdated list: while the list cannot be read, the
 // instance may have left the pool by an order of the previous owner.
 TEST_F(InstanceOrdersTest, OutdatedListGivesNoRightToOrder) {
