Let only calls to silent executors end runs after the lease

The commits of an owner take 3.5 s. It gives no orders and makes no holds from 18.36 to 21.84 s, after a hold of an executor that was answered. 2. Its next hold needs a new token, so it does not extend the lease. The relay fails, which is not recorded as silence of the executor. 3. The hold that follows directly is made at 22.44 s, when the bound of the lease has just passed, to an executor that still counts as responding. ExecutorLink therefore gives it 600 ms instead of the 3 s of the last call. 4. The response arrives after 600 ms. OnNoAnswer records a call made after the bound, and Advance gives the runs up. One had ended and was listed to a call in flight; it was started again 0.5 s later.

Advance relied on a call that was made after the bound, but not on the longer time that such a call needs. OnNoAnswer now counts a call as the last one only if the executor was silent before it. Then ExecutorLink has given it 3 s. The price is one more call when silence begins after the bound.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -64,10 +64,11 @@
   /// When this owner learned of the known incarnation, if it is not the first one.
   TimePoint incarnation_known_at{};
   TimePoint report_requested_at{};  ///< When its last report was requested.
-  TimePoint unanswered_call_at{};   ///< When the last call without a response was made.
-  bool report_wanted = false;       ///< The next report is to be returned without waiting.
-  bool responding = false;          ///< It answered the last call.
-  bool contacted = false;           ///< This owner has called it, whether or not it answered.
+  /// When the last call without a response was made while the executor was not responding.
+  TimePoint unanswered_call_at{};
+  bool report_wanted = false;  ///< The next report is to be returned without waiting.
+  bool responding = false;     ///< It answered the last call.
+  bool contacted = false;      ///< This owner has called it, whether or not it answered.
   /// A previous owner may have acknowledged ends of the known incarnation.
   bool taken_over = false;
   bool inherited = false;  ///< A previous owner may have started tasks on it.
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -222,7 +222,10 @@
 void PoolScheduler::OnNoAnswer(const ExecutorId& id, TimePoint called_at) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
-  executor->unanswered_call_at = std::max(executor->unanswered_call_at, called_at);
+  // Only calls to executors that are known to be silent have the time that a slow owner needs.
+  if (!executor->responding) {
+    executor->unanswered_call_at = std::max(executor->unanswered_call_at, called_at);
+  }
   if (!std::exchange(executor->contacted, true)) m_plan_needed = true;
   if (!executor->responding) return;
   executor->responding = false;
--- a/src/decisions/scheduling/tests/unanswered_starts_test.cc
+++ b/src/decisions/scheduling/tests/unanswered_starts_test.cc
@@ -80,5 +80,21 @@
   EXPECT_EQ(scheduler.Plan(m_pool.now() + 7s).starts.size(), 1u);
 }
 
+// Guards against the same when the owner first notices the silence after the lease: a call to an
+// executor that seems to respond has a short time-out, which a slow owner exceeds.
+TEST_F(UnansweredStartsTest, FirstCallWithoutAResponseDoesNotDecideAfterTheLease) {
+  m_pool.Submit(MakeJob("b", {MakeStep(1, 1000, 300ms)}));
+  m_pool.Run(60ms);
+  const std::string holder = first().Runs(kTask) ? "x0" : "x1";
+  PoolScheduler& scheduler = m_pool.scheduler();
+  scheduler.OnNoAnswer(ExecutorId(holder), m_pool.now() + 6s);
+  scheduler.Advance(m_pool.now() + 7s, 0);
+  EXPECT_TRUE(scheduler.Plan(m_pool.now() + 7s).starts.empty()) << "the task was started again";
+  EXPECT_EQ(scheduler.FindExecutor(ExecutorId(holder))->runs.size(), 1u);
+  scheduler.OnNoAnswer(ExecutorId(holder), m_pool.now() + 7s);
+  scheduler.Advance(m_pool.now() + 8s, 0);
+  EXPECT_EQ(scheduler.Plan(m_pool.now() + 8s).starts.size(), 1u);
+}
+
 }  // namespace
 }  // namespace citronferry::scheduling
