--- a/src/fleet/pool/internal/owner_elector.h
+++ b/src/fleet/pool/internal/owner_elector.h
@@ -25,8 +25,8 @@
   /// @return whether this entry may bid: there is no owner, or it has not renewed for
   ///   kVacancyTimeout, or it has ended.
   bool IsVacant() const;
-  /// @return whether the owner is known to have ended: it was part of this process, or of an earlier
-  ///   one on this machine.
+  /// @return whether the owner is known to have ended, as part of this process or of an earlier one
+  ///   on this machine.
   bool HolderHasEnded(const OwnerView& owner) const;
   /// @return whether the previous owner has released the pool to this entry.
   bool IsSuccessor() const;
--- a/src/fleet/tests/owner_elector_test.cc
+++ b/src/fleet/tests/owner_elector_test.cc
@@ -54,17 +54,17 @@
     result.report.active = m_states.active[to.id];
     co_return result;
   }
-  QCoro::Task<StartAnswer> Start(ExecutorAddress to, StartCall call) override {
+  QCoro::Task<StartResult> Start(ExecutorAddress to, StartCall call) override {
     if (unreachable.contains(to.id)) {
       co_await SleepFor(m_timers, call.timeout);
-      co_return StartAnswer::kUnknown;
+      co_return StartResult{.answer = StartAnswer::kUnknown};
     }
     if (start_delay > Duration::zero()) co_await SleepFor(m_timers, start_delay);
-    if (!Accepts(to.id, call.fencing_token)) co_return StartAnswer::kFenced;
+    if (!Accepts(to.id, call.fencing_token)) co_return StartResult{.answer = StartAnswer::kFenced};
     m_states.active[to.id].push_back({.task = call.order.task, .run = call.order.run});
     m_states.starts.push_back(
         {.executor = to.id, .task = call.order.task, .token = call.fencing_token});
-    co_return StartAnswer::kStarted;
+    co_return StartResult{.answer = StartAnswer::kStarted};
   }
   QCoro::Task<scheduling::StopAnswer> Stop(ExecutorAddress, scheduling::StopOrder, int64_t,
                                            Duration) override {
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -439,8 +439,8 @@
   const scheduling::StartOrder order = Order(0);
   const StartCall start{
       .order = order, .lease_until_ms = 5000, .fencing_token = 9, .timeout = 400ms};
-  EXPECT_EQ(CallBeforePause(m_client.Start(m_to, start), 500ms), StartAnswer::kNotSent);
-  EXPECT_EQ(CallThenPause(m_client.Start(m_to, start), 500ms), StartAnswer::kNotSent);
+  EXPECT_EQ(CallBeforePause(m_client.Start(m_to, start), 500ms).answer, StartAnswer::kNotSent);
+  EXPECT_EQ(CallThenPause(m_client.Start(m_to, start), 500ms).answer, StartAnswer::kNotSent);
   EXPECT_TRUE(m_behind.payloads.empty());
 }
 
