Let the successor in the tests of instance orders listen where its owner did

A process bids at once for a pool of its own name only if it listens at the address of the previous owner. SuccessorWaitsForAnOrderOfAKilledOwner was written before that rule was merged: its successor waited for the vacancy, and the test ended before it owned the pool. Both contexts have one address now; the checks are unchanged. 21 tests of instance orders and of the elector pass.

--- a/src/fleet/tests/instance_orders_test.cc
+++ b/src/fleet/tests/instance_orders_test.cc
@@ -110,6 +110,7 @@
 
   InstanceOrdersTest() {
     m_options.holder_change_interval = 200ms;
+    m_owner_context.relay_address = m_successor_context.relay_address = "10.1.0.9:7060";
     m_owner_context.configuration.Set(
         {.version = 1, .pools = {{.name = m_pool, .standby = true}, {.name = m_other}}});
     m_recorder.listed = {{.id = m_instance, .pool = m_pool, .state = InstanceState::kUp}};
@@ -130,8 +131,8 @@
     m_stop.Request();
     return ProcessEventsUntil([this] { return m_scope.running() == 0; });
   }
-  // Lets another process take the pool over. Its entry has the same name, so it bids at once, also
-  // if the owner has not released the pool, and that owner is lost at its next commit.
+  // Lets another process take the pool over. It has the name and the address of the owner, which it
+  // therefore takes for ended, so it bids at once, and that owner is lost at its next commit.
   void StartSuccessor() {
     m_successor_context.configuration.Set(m_owner_context.configuration.Get());
     ObserveOwner(m_successor_context, m_rows.At(OwnerKey(m_pool)));
