--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "decisions/scheduling/start_window.h"
 #include "decisions/scheduling/types.h"
 
 namespace citronferry::scheduling {
@@ -64,10 +65,11 @@
   /// When this owner learned of the known incarnation, if it is not the first one.
   TimePoint incarnation_known_at{};
   TimePoint report_requested_at{};  ///< When its last report was requested.
-  TimePoint unanswered_call_at{};   ///< When the last call without a response was made.
-  bool report_wanted = false;       ///< The next report is to be returned without waiting.
-  bool responding = false;          ///< It answered the last call.
-  bool contacted = false;           ///< This owner has called it, whether or not it answered.
+  /// When the last call without a response was made while the executor was not responding.
+  TimePoint unanswered_call_at{};
+  bool report_wanted = false;  ///< The next report is to be returned without waiting.
+  bool responding = false;     ///< It answered the last call.
+  bool contacted = false;      ///< This owner has called it, whether or not it answered.
   /// A previous owner may have acknowledged ends of the known incarnation.
   bool taken_over = false;
   bool inherited = false;  ///< A previous owner may have started tasks on it.
@@ -75,12 +77,16 @@
   std::optional<TimePoint> unlisted_since;
   std::optional<TimePoint> listed_at;
   std::vector<int64_t> past_incarnations;  ///< Start times of those that have ended.
-  int64_t applied_end = 0;                 ///< Number of the last run end that was processed.
-  int64_t durable_end = 0;                 ///< Number of the last run end whose effect is durable.
-  Resources used;                          ///< Charged to its runs.
+  /// Start time in the registry that was later than the known one before the first report to this
+  /// owner, which tells whether that incarnation has ended.
+  std::optional<int64_t> undecided_incarnation;
+  int64_t applied_end = 0;  ///< Number of the last run end that was processed.
+  int64_t durable_end = 0;  ///< Number of the last run end whose effect is durable.
+  Resources used;           ///< Charged to its runs.
   std::vector<RunRef> runs;
   TimePoint lease_bound{};  ///< No run is left after this time, unless the lease is extended.
   TimePoint no_capacity_until{};
+  StartWindow start_window;
   int best_effort_pace_percent = 100;  ///< Capacity share allowed to best-effort tasks.
   ExecutorHealth health;
 
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -144,6 +144,7 @@
   if (incarnation < known_incarnation || outdated) return;
   // The past incarnations that a previous owner has met are not known, so its report decides.
   const bool undecided = executor.taken_over && !executor.reported && known_incarnation != 0;
+  if (undecided && incarnation > known_incarnation) executor.undecided_incarnation = incarnation;
   if (incarnation > known_incarnation && known_incarnation != 0 && !undecided) {
     OnRestarted(executor, incarnation, now);
   }
@@ -222,7 +223,10 @@
 void PoolScheduler::OnNoAnswer(const ExecutorId& id, TimePoint called_at) {
   ExecutorState* executor = FindExecutor(id);
   if (!executor) return;
-  executor->unanswered_call_at = std::max(executor->unanswered_call_at, called_at);
+  // Only calls to executors that are known to be silent have the time that a slow owner needs.
+  if (!executor->responding) {
+    executor->unanswered_call_at = std::max(executor->unanswered_call_at, called_at);
+  }
   if (!std::exchange(executor->contacted, true)) m_plan_needed = true;
   if (!executor->responding) return;
   executor->responding = false;
@@ -259,6 +263,7 @@
 
 void PoolScheduler::Advance(TimePoint now, int64_t unix_ms) {
   for (auto& [id, executor] : m_executors) {
+    m_plan_needed |= executor.start_window.TakeEndOfPause(now);
     // The executor may have listed ends in a response that this owner was too slow to receive, so
     // it is asked once more after its lease.
     const bool asked = executor.unanswered_call_at >= executor.lease_bound;
@@ -330,12 +335,12 @@
   }
 }
 
-bool PoolScheduler::TakeoverUnresolved(const StepSpec& spec) const {
-  // If copies are allowed, a task may run again while an executor does not respond, but only after
-  // this owner has called that executor, which may report that the task has already ended.
+bool PoolScheduler::TakeoverUnresolved() const {
+  // This holds where copies are allowed, too: the executor may have listed the end of the task to
+  // the previous owner.
   return std::any_of(m_executors.begin(), m_executors.end(), [&](const auto& entry) {
     const ExecutorState& executor = entry.second;
-    return executor.inherited && !executor.reported && !(spec.copies_allowed && executor.contacted);
+    return executor.inherited && !executor.reported;
   });
 }
 
@@ -365,11 +370,23 @@
                           .free = executor.free(),
                           .free_when_drained = executor.info.capacity - LongRunningUse(executor),
                           .long_running_tasks = executor.long_running_tasks(),
+                          .starts_left = StartsLeft(executor),
                           .slowness = m_durations->SlownessOf(executor.info)});
   }
   return candidates;
 }
 
+int PoolScheduler::StartsLeft(const ExecutorState& executor) const {
+  const int limit = executor.start_window.limit();
+  if (!executor.start_window.limited()) return limit;
+  const auto waiting =
+      std::count_if(executor.runs.begin(), executor.runs.end(), [&](const RunRef& ref) {
+        const Run* run = FindRun(ref.task, ref.run, executor.info.id);
+        return run && run->phase == RunPhase::kOrdered && !run->copy_outstanding;
+      });
+  return std::max(0, limit - static_cast<int>(waiting));
+}
+
 bool PoolScheduler::NeedsPlacement(const Task& task, const StepSpec& spec, TimePoint now) const {
   if (task.done) return false;
   if (task.runs.empty()) return true;
@@ -464,7 +481,7 @@
         const StepSpec& spec = job.spec(static_cast<int>(step));
         if (!Job::IsReady(occurrence.steps[step])) continue;
         // A previous owner may have started tasks on an executor that has not reported yet.
-        if (job.inherited() && TakeoverUnresolved(spec)) continue;
+        if (job.inherited() && TakeoverUnresolved()) continue;
         const bool needs_ticket = PolicyOf(job).needs_advice;
         if (!spec.long_running && unplaced.IsFull(spec, needs_ticket)) continue;
         if (!PlaceStep(job, number, static_cast<int>(step), placer, now)) {
@@ -579,7 +596,8 @@
        .definition = job.definition(),
        .checkpoint = checkpoint,
        .ticket = ticket == step.tickets.end() ? std::string() : ticket->second,
-       .send_before = send_before});
+       .send_before = send_before,
+       .incarnation_unix_ms = executor.info.incarnation_unix_ms});
 }
 
 Step* PoolScheduler::FindStep(const TaskId& id) {
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -26,6 +26,44 @@
   return kFirstTimeForLateStart * (1 << std::min(earlier - 1, kMaxDoublings));
 }
 
+std::string_view NameOf(StartAnswer answer) {
+  switch (answer) {
+    case StartAnswer::kStarted:
+      return "started";
+    case StartAnswer::kFenced:
+      return "fenced";
+    case StartAnswer::kRunOutdated:
+      return "run outdated";
+    case StartAnswer::kDeadlinePassed:
+      return "lease over on arrival";
+    case StartAnswer::kInsufficientCapacity:
+      return "insufficient capacity";
+    case StartAnswer::kTicketInvalid:
+      return "ticket invalid";
+    case StartAnswer::kMalformed:
+      return "malformed";
+    case StartAnswer::kUnhealthy:
+      return "executor unhealthy";
+    case StartAnswer::kOtherExecutor:
+      return "other executor";
+    case StartAnswer::kNotSent:
+      return "not sent";
+    case StartAnswer::kUnknown:
+      return "unanswered";
+    case StartAnswer::kWithdrawn:
+      return "withdrawn";
+  }
+  return "";
+}
+
+/// @return the number of the answer, its name and the reason, for the log.
+std::string Describe(StartAnswer answer, std::string_view reason) {
+  std::string text = std::to_string(static_cast<int>(answer)) + ", ";
+  text += NameOf(answer);
+  if (!reason.empty()) text.append(": ").append(reason);
+  return text;
+}
+
 }  // namespace
 
 Resources PoolScheduler::CountedRequest(const Job& job, int step) const {
@@ -96,6 +134,7 @@
   executor.applied_end = executor.durable_end = 0;
   m_durations->run_times().executors().Forget(id.view());
   executor.link_durable = false;
+  executor.start_window = {};
   executor.reported = executor.taken_over = false;
   executor.lease_uncertain = true;
   executor.incarnation_known_at = now;
@@ -143,7 +182,12 @@
   run.stop_ordered_at = now;
   // Until this order is confirmed, the run may still appear on the executor.
   run.confirmed_at.reset();
-  m_orders.stops.push_back({.executor = run.executor, .task = task, .run = run.id});
+  const ExecutorState* executor = FindExecutor(run.executor);
+  m_orders.stops.push_back(
+      {.executor = run.executor,
+       .task = task,
+       .run = run.id,
+       .incarnation_unix_ms = executor ? executor->info.incarnation_unix_ms : 0});
   m_plan_needed = true;  // Plan() returns the orders.
 }
 
@@ -189,10 +233,21 @@
   if (Run* run = FindRun(order.task, order.run, order.executor)) run->copy_outstanding = true;
 }
 
-void PoolScheduler::OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now) {
+void PoolScheduler::NoteSending(ExecutorState& executor, const Run& run, StartAnswer answer,
+                                TimePoint now) {
+  if (answer == StartAnswer::kNotSent) return executor.start_window.OnNotSent(run.ordered_at, now);
+  // Another start may be ordered, which no other event would cause.
+  m_plan_needed |= executor.start_window.limited() && m_waiting_cores > 0;
+  const bool answered = answer != StartAnswer::kUnknown && answer != StartAnswer::kWithdrawn;
+  if (answered) executor.start_window.OnSent();
+}
+
+void PoolScheduler::OnStartAnswer(const StartOrder& order, StartAnswer answer, TimePoint now,
+                                  std::string_view reason) {
   ExecutorState* executor = FindExecutor(order.executor);
   Run* run = FindRun(order.task, order.run, order.executor);
   if (!executor || !run) return;
+  NoteSending(*executor, *run, answer, now);
   switch (answer) {
     case StartAnswer::kStarted:
       if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
@@ -209,7 +264,7 @@
     case StartAnswer::kUnknown:
       // The run may have started, or may start later. It goes on if a report lists it. Otherwise
       // the task is placed again once the executor rejects the start.
-      Note("start_unanswered", order.task, order.run, order.executor);
+      Note("start_unanswered", order.task, order.run, order.executor, reason);
       run->copy_outstanding = true;
       if (run->listed) return;  // Copies of its start have no effect.
       run->fence_at =
@@ -218,6 +273,8 @@
       if (now >= *run->fence_at) FenceStart(*executor, *run);
       return;
     case StartAnswer::kOtherExecutor:
+      // The address of a former incarnation may have been given away.
+      if (order.incarnation_unix_ms != executor->info.incarnation_unix_ms) break;
       OnExecutorGone(order.executor, now);
       return;
     case StartAnswer::kFenced:
@@ -235,10 +292,10 @@
       break;
     case StartAnswer::kDeadlinePassed:
     case StartAnswer::kNotSent:
+    case StartAnswer::kWithdrawn:
       break;
   }
-  Note("start_refused", order.task, order.run, order.executor,
-       std::to_string(static_cast<int>(answer)));
+  Note("start_refused", order.task, order.run, order.executor, Describe(answer, reason));
   RemoveRun(order.task, order.run, *executor);
   StopIncompleteGang(*FindJobMutable(order.task.job), order.task, now);
 }
@@ -252,7 +309,12 @@
 }
 
 void PoolScheduler::OnStopAnswer(const StopOrder& order, StopAnswer answer, TimePoint now) {
-  if (answer == StopAnswer::kOtherExecutor) return OnExecutorGone(order.executor, now);
+  const ExecutorState* executor = FindExecutor(order.executor);
+  // The address of a former incarnation may have been given away.
+  const bool present = executor && order.incarnation_unix_ms == executor->info.incarnation_unix_ms;
+  if (answer == StopAnswer::kOtherExecutor && present) {
+    return OnExecutorGone(order.executor, now);
+  }
   if (answer == StopAnswer::kFenced) m_fenced = true;
   if (answer == StopAnswer::kUnknown) {
     Note("stop_unanswered", order.task, order.run, order.executor);
--- a/src/decisions/scheduling/types.h
+++ b/src/decisions/scheduling/types.h
@@ -205,8 +205,9 @@
   kMalformed,
   kUnhealthy,      ///< The executor is unhealthy and has not started the run.
   kOtherExecutor,  ///< Another executor uses the address now.
-  kNotSent,        ///< The order was not sent.
+  kNotSent,        ///< The order could not be sent to the executor in time.
   kUnknown,        ///< No response: the run may have started, or may start later.
+  kWithdrawn,      ///< The owner did not send the order, for a reason other than the executor.
 };
 
 /// Result of a stop order.
@@ -222,6 +223,7 @@
   std::string ticket;      ///< Issued by the placement adviser; empty if none is needed.
   /// The order is not sent after this time, if there is one: it relies on a report that ages.
   std::optional<TimePoint> send_before;
+  int64_t incarnation_unix_ms = 0;  ///< Of the executor, as known when the order was given.
 };
 
 /// Stops a run.
@@ -229,6 +231,7 @@
   ExecutorId executor;
   TaskId task;
   int64_t run = 0;
+  int64_t incarnation_unix_ms = 0;  ///< Of the executor, as known when the order was given.
 };
 
 /// Limits the share of its capacity that a task may use.
--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -220,8 +220,14 @@
   bj::object encoded{
       {"holder", record.holder}, {"incarnation", record.incarnation}, {"commit", record.commit}};
   if (!record.relay_key.empty()) encoded["key"] = record.relay_key;
+  if (!record.address.empty()) encoded["address"] = record.address;
   if (record.loading) encoded["loading"] = true;
   if (!record.successor.empty()) encoded["successor"] = record.successor.str();
+  if (record.ordered_instances) {
+    bj::array instances;
+    for (const InstanceId& id : *record.ordered_instances) instances.emplace_back(id.str());
+    encoded["ordered"] = std::move(instances);
+  }
   return bj::serialize(encoded);
 }
 
@@ -233,8 +239,13 @@
                      .incarnation = reader.Text("incarnation"),
                      .commit = reader.Integer("commit"),
                      .relay_key = reader.Text("key"),
+                     .address = reader.Text("address"),
                      .loading = reader.Boolean("loading"),
                      .successor = EntryId(reader.Text("successor"))};
+  if (const bj::array* instances = reader.Array("ordered")) {
+    record.ordered_instances.emplace();
+    for (const bj::value& id : *instances) record.ordered_instances->emplace_back(json::AsText(id));
+  }
   if (!reader.ok()) return reader.ret();
   return record;
 }
--- a/src/fleet/pool/internal/maintenance_coordinator.cc
+++ b/src/fleet/pool/internal/maintenance_coordinator.cc
@@ -222,6 +222,9 @@
   }
   const ExecutorState* executor = m_owner.scheduler().FindExecutor(operation.executor);
   if (!executor || !executor->listed || executor->info.leaving) {
+    // An order without a response may be why it has gone, or may still be carried out.
+    const bool in_maintenance = listed->state == InstanceState::kInMaintenance;
+    if (in_maintenance || m_directory.HasUnansweredOrder(instance)) co_return;
     // The executor has crashed or is leaving; the next one on this instance is drained again.
     if (operation.slot_acquired) {
       static_cast<void>(co_await m_slots.Release(operation.wave, instance, false));
@@ -249,7 +252,9 @@
     if (!acquired.ok() || m_owner.ended().requested()) co_return;
     operation.slot_acquired = true;
   }
-  if (!m_owner.may_order() || !m_directory.MayOrder(instance, m_owner.pool(), kind)) co_return;
+  const OrderAnnouncement announcement(m_directory, instance);
+  const bool announced = co_await m_owner.AnnounceOrder(announcement, kind);
+  if (!announced) co_return;
   const OrderIssuer issuer{
       .holder = m_context.options.name,
       .fencing_token = m_directory.BeginOrder(instance, kind, m_owner.newest_version())};
--- a/src/fleet/pool/internal/owner_elector.cc
+++ b/src/fleet/pool/internal/owner_elector.cc
@@ -42,12 +42,21 @@
     return owner.successor.empty() || IsSuccessor() ||
            m_context.timers.Now() - owner.changed_at >= kSuccessorHeadStart;
   }
-  // The row was written by an earlier process, or by a bid whose response was lost.
-  if (owner.holder == m_context.options.name) return true;
+  if (HolderHasEnded(owner)) return true;
   const TimePoint unchanged_since = std::max(owner.changed_at, *m_context.owners_seen_since);
   return m_context.timers.Now() - unchanged_since >= kVacancyTimeout;
 }
 
+bool OwnerElector::HolderHasEnded(const OwnerView& owner) const {
+  if (owner.holder != m_context.options.name) return false;
+  // The row was written by an owner of this process that has ended, or by a bid whose response was
+  // lost: an elector does not bid while it runs an owner.
+  if (owner.incarnation == m_context.options.incarnation) return true;
+  // The name may have passed to another machine while the previous process still runs. Two
+  // processes cannot listen on one address.
+  return !owner.address.empty() && owner.address == m_context.relay_address;
+}
+
 bool OwnerElector::IsSuccessor() const {
   const auto found = m_context.owners.find(m_pool);
   return found != m_context.owners.end() && found->second.holder.empty() &&
@@ -84,11 +93,16 @@
   const std::optional<OwnerView> replaced = co_await WaitForVacancy();
   if (!replaced) co_return MakeOk();
   const TimePoint asked_at = m_context.timers.Now();
+  // The bid replaces the row, and its owner may be lost before its first commit.
+  std::optional<std::vector<InstanceId>> ordered_instances = replaced->ordered_instances;
+  if (replaced->version == 0) ordered_instances.emplace();  // The pool had no owner.
   const RowKey key = OwnerKey(m_pool);
   const OwnerRecord record{.holder = m_context.options.name,
                            .incarnation = m_context.options.incarnation,
                            .relay_key = PublicRelayKey(m_context.options),
-                           .loading = true};
+                           .address = m_context.relay_address,
+                           .loading = true,
+                           .ordered_instances = ordered_instances};
   Transaction bid{.conditions = {{.key = key, .version = replaced->version}},
                   .puts = {{.key = key, .value = EncodeOwner(record)}}};
   const TransactionResult result =
@@ -111,10 +125,13 @@
        {"noticed_ms_ago", ToMilliseconds(asked_at - replaced->changed_at)}});
   m_context.owners[m_pool] = {.holder = m_context.options.name,
                               .incarnation = m_context.options.incarnation,
+                              .ordered_instances = ordered_instances,
                               .version = result.version,
                               .changed_at = m_context.timers.Now()};
   ++m_context.owned_pools;
-  Ownership ownership{.epoch = result.version, .acquired_at = asked_at};
+  Ownership ownership{.epoch = result.version,
+                      .acquired_at = asked_at,
+                      .ordered_instances = std::move(ordered_instances)};
   if (replaced->holder.empty() && replaced->version != 0) {
     ownership.released_version = replaced->version;
   }
--- a/src/fleet/relay/internal/relay_server.cc
+++ b/src/fleet/relay/internal/relay_server.cc
@@ -89,6 +89,7 @@
       ForgetIdlePeers();
       co_await SleepFor(m_context.timers, kKeyCheckInterval, &m_stop);
     }
+    m_context.relay_address.clear();
     co_return co_await m_calls.Join(m_context.timers, kStopDeadline);
   }
 
@@ -120,7 +121,10 @@
                                     .keys = options.relay_keys},
           m_context.metrics, [this](ReceivedMessage message) { OnMessage(std::move(message)); });
       const Ret listening = m_transport->Listen();
-      if (listening.ok()) co_return;
+      if (listening.ok()) {
+        m_context.relay_address = RelayAddress(options);
+        co_return;
+      }
       Log(LogLevel::kError, "relay_listen_failed", {{"error", listening.message()}});
       co_await SleepFor(m_context.timers, backoff.Next(), &m_stop);
     }
@@ -247,7 +251,7 @@
       co_await Deliver(call, deadline - now, result);
     } else {
       result.outcome = NotSent(call.order);
-      result.error = "the order was not sent in time";
+      result.error = "the relay did not send it in time";
     }
     if (acquired) lane->Release();
     const auto current = m_lanes.find(call.to.address);
@@ -260,8 +264,9 @@
                             .lease_until_ms = start->lease_until_ms,
                             .fencing_token = call.fencing_token,
                             .timeout = timeout};
-      const StartAnswer answer = co_await m_executors.Start(call.to, order);
-      result.outcome = static_cast<int>(answer);
+      StartResult started = co_await m_executors.Start(call.to, order);
+      result.outcome = static_cast<int>(started.answer);
+      result.error = std::move(started.error);
     } else if (const auto* stop = std::get_if<scheduling::StopOrder>(&call.order)) {
       const auto answer = co_await m_executors.Stop(call.to, *stop, call.fencing_token, timeout);
       result.outcome = static_cast<int>(answer);
--- a/src/fleet/watch/internal/owner_watcher.cc
+++ b/src/fleet/watch/internal/owner_watcher.cc
@@ -115,8 +115,10 @@
   view = {.holder = record->holder,
           .incarnation = record->incarnation,
           .relay_key = record->relay_key,
+          .address = record->address,
           .loading = record->loading,
           .successor = record->successor,
+          .ordered_instances = record->ordered_instances,
           .version = row.version,
           .changed_at = context.timers.Now()};
 }
