--- a/src/platform/tests/executors_test.cc
+++ b/src/platform/tests/executors_test.cc
@@ -48,7 +48,8 @@
                             .port = m_port,
                             .drain_timeout = Duration::zero()},
         [this](http::Request request) -> QCoro::Task<http::Response> {
-          if (request.path == "/v1/run-start") co_await SleepFor(*m_timers, start_delay);
+          if (request.path == "/v1/run-start")
+            co_await SleepFor(*m_timers, start_delay, request.abandoned.get());
           co_return Answer(request);
         });
     ASSERT_TRUE(m_server->Listen().ok());
@@ -84,6 +85,8 @@
 
   void Stop() {
     if (!m_server) return;
+    // A handler ends when its caller has gone.
+    EXPECT_TRUE(ProcessEventsUntil([&] { return m_server->in_flight() == 0; }));
     m_server->Stop();
     EXPECT_TRUE(ProcessEventsUntil([&] { return m_tasks.running() == 0; }));
     m_server.reset();
