--- a/src/fleet/interfaces/executors.h
+++ b/src/fleet/interfaces/executors.h
@@ -29,7 +29,7 @@
 struct HoldCall {
   /// New end of the lease on the executor's clock; without a value the lease is not extended.
   std::optional<int64_t> lease_until_ms;
-  int64_t fencing_token = 0;     ///< Epoch of the calling owner.
+  int64_t fencing_token = 0;     ///< Of the calling owner; see ExecutorSession.
   int64_t acknowledged_end = 0;  ///< Number of the last ended run whose effect is durable.
   Duration wait{};               ///< Longest time for which the executor waits for a run to end.
   Duration timeout{};            ///< Longest time for the response beyond `wait`.
@@ -56,7 +56,7 @@
 struct StartCall {
   const scheduling::StartOrder& order;
   int64_t lease_until_ms = 0;  ///< End of the lease on the executor's clock.
-  int64_t fencing_token = 0;   ///< Epoch of the calling owner.
+  int64_t fencing_token = 0;   ///< Of the calling owner; see ExecutorSession.
   Duration timeout{};
 };
 
