--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -6,6 +6,7 @@
 // 0 if it held, and with 2 if the case could not run.
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -92,7 +93,7 @@
     if (world.Submit("repair-send", small).empty()) return kNotRun;
     Sleep(kPauseMs);
     if (NowMs() < healthy_at) continue;
-    Executor* executor = world.workers().LastStarter(kPauseMs);
+    Executor* executor = world.workers().LastStarter(3 * kPauseMs);
     if (!executor) break;
     ++episodes;
     if (!Trouble()) continue;
@@ -159,20 +160,27 @@
 /// A process is killed while executors run many small tasks.
 int PlayKilledOwner(const Paths& paths) {
   constexpr int kExecutors = 9;
-  constexpr int kJobs = 80;
+  constexpr int kJobs = 20;
+  constexpr int kTasks = 32;
   constexpr int64_t kDownMs = 3500;
   constexpr int64_t kSettleMs = 15'000;
   World& world = MakeWorld(paths, PackstringSite(), {{.name = "trail-quote"}});
   world.AddExecutors(kExecutors);
   if (!world.Start(3)) return kNotRun;
-  const JobModel model{.steps = {{.replicas = 8, .cpu = 100, .memory_mb = 400, .work_ms = 1800}}};
+  const JobModel model{
+      .steps = {{.replicas = kTasks, .cpu = 100, .memory_mb = 400, .work_ms = 1800}}};
   std::vector<std::string> jobs;
   for (int i = 0; i < kJobs; ++i) {
     jobs.push_back(world.Submit("trail-quote", model));
     if (jobs.back().empty()) return kNotRun;
   }
-  const int64_t deadline = NowMs() + 5000;
-  while (world.workers().RunsOf(jobs.back()).started < 8) {
+  const int64_t deadline = NowMs() + 1500;
+  const auto all_run = [&] {
+    return std::all_of(jobs.begin(), jobs.end(), [&](const std::string& job) {
+      return world.workers().RunsOf(job).running == kTasks;
+    });
+  };
+  while (!all_run()) {
     if (NowMs() > deadline) return kNotRun;
     Sleep(10);
   }
