--- a/review/standins-2/executor.cc
+++ b/review/standins-2/executor.cc
@@ -128,12 +128,6 @@
   return last;
 }
 
-int Workers::LastingOn(const Executor& executor) {
-  const std::lock_guard lock(m_mutex);
-  return static_cast<int>(std::count_if(executor.m_active.begin(), executor.m_active.end(),
-                                        [](const auto& active) { return active.model.lasts; }));
-}
-
 void Workers::Refuse(Executor& executor, int64_t for_ms) {
   const std::lock_guard lock(m_mutex);
   executor.m_refuses_until = NowMs() + for_ms;
--- a/review/standins-2/executor.h
+++ b/review/standins-2/executor.h
@@ -65,8 +65,6 @@
   /// @return the executor that has begun a task that does not last most recently; nullptr if none
   ///   has in the past time.
   Executor* LastStarter(int64_t within_ms);
-  /// @return the number of tasks that last and run on the executor.
-  int LastingOn(const Executor& executor);
   /// Lets an executor reject starts with 503, with its health good.
   void Refuse(Executor& executor, int64_t for_ms);
   /// The executor is lost for good.
