Do not keep executors on probation because of tasks that last

Cause: after a quarantine an executor takes one task at a time until a task succeeds, and a long-running task counted as that one, although it never ends. The log of the case shows start_refused on each executor and no start there after it. The logs and the tests showed two faults beside it: starts that are rejected together counted as several quarantines, so the first one took 8 s in place of 2 s; and with declared run times nothing caused a plan when a quarantine ended.

A run now counts as the task on trial for at most 5 s, within which a run without progress is stopped, and a long-running task until it is ready. One that was ordered after the quarantine and becomes ready ends the probation. A quarantine is not prolonged while it lasts, and each pool is planned every 500 ms.

The new tests LongRunningTaskDoesNotProlongProbation and LongTaskDoesNotProlongProbation failed before; all tests of scheduling_test pass with the change.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -27,15 +27,20 @@
  public:
   /// Records a successful run, which resets the failures and ends the probation.
   void RecordDone();
+  /// Records that a long-running task has become ready. As it does not end, this is what shows that
+  /// the executor works.
+  /// @param ordered_at when its run was ordered; runs from before a quarantine show nothing.
+  void RecordReady(TimePoint ordered_at);
   /// Records a failed run and quarantines the executor if the failures point to it.
   /// @param job the job of the failed task.
   /// @param executor_suspected false if the job's tasks fail on other executors too.
   void RecordFailure(const JobId& job, bool executor_suspected, TimePoint now);
-  /// Keeps new tasks off the executor for 2 s, doubled with each further quarantine up to 8 s.
+  /// Keeps new tasks off the executor for 2 s, doubled with each further quarantine up to 8 s. Has
+  /// no effect during a quarantine.
   void Quarantine(TimePoint now);
   /// @return whether new tasks are kept off the executor.
   bool quarantined(TimePoint now) const { return now < m_quarantined_until; }
-  /// @return whether the executor has been quarantined and has not completed a task since.
+  /// @return whether the executor has been quarantined and no task has succeeded since.
   bool on_probation() const { return m_quarantines > 0; }
 
  private:
@@ -95,6 +100,10 @@
   int long_running_tasks() const;
   /// @return whether new tasks may be placed.
   bool Usable(TimePoint now) const;
+
+ private:
+  /// @return whether a run may still show that the executor, which is on probation, does not work.
+  bool IsOnTrial(const RunRef& ref, TimePoint now) const;
 };
 
 /// @return the numbers of the last applied and of the last durable end, for the log.
--- a/src/decisions/scheduling/internal/executor_state.cc
+++ b/src/decisions/scheduling/internal/executor_state.cc
@@ -12,6 +12,9 @@
 // The first quarantine outlasts most short faults; repeated ones are longer.
 constexpr Duration kQuarantine = 2s;
 constexpr int kMaxQuarantineDoublings = 2;
+// A run without progress is stopped within this time, and what goes on for longer, such as a
+// long-running task, must not keep the executor from being used.
+constexpr Duration kMaxTrial = 5s;
 
 }  // namespace
 
@@ -22,6 +25,10 @@
   m_quarantines = 0;
 }
 
+void ExecutorHealth::RecordReady(TimePoint ordered_at) {
+  if (ordered_at >= m_quarantined_until) RecordDone();
+}
+
 void ExecutorHealth::RecordFailure(const JobId& job, bool executor_suspected, TimePoint now) {
   if (!executor_suspected) return;
   ++m_failures;
@@ -33,6 +40,8 @@
 }
 
 void ExecutorHealth::Quarantine(TimePoint now) {
+  // Tasks that were ordered before this quarantine show no more than the first of them.
+  if (quarantined(now)) return;
   const int doublings = std::min(m_quarantines, kMaxQuarantineDoublings);
   m_quarantined_until = now + kQuarantine * (1 << doublings);
   ++m_quarantines;
@@ -52,8 +61,20 @@
   if (awaits_token || answered_fences < required_fences) return false;
   if (health.quarantined(now) || now < no_capacity_until) return false;
   if (start_window.paused(now)) return false;
+  if (!health.on_probation()) return true;
   // During probation, one task at a time.
-  return !health.on_probation() || runs.empty();
+  return std::none_of(runs.begin(), runs.end(),
+                      [&](const RunRef& ref) { return IsOnTrial(ref, now); });
+}
+
+bool ExecutorState::IsOnTrial(const RunRef& ref, TimePoint now) const {
+  const Task* task = ref.job->FindTask(ref.task);
+  if (!task) return false;
+  return std::any_of(task->runs.begin(), task->runs.end(), [&](const Run& run) {
+    if (run.id != ref.run || run.executor != info.id) return false;
+    const bool ready = ref.job->spec(ref.task.step).long_running && run.percent >= kReadyPercent;
+    return !ready && now - run.ordered_at < kMaxTrial;
+  });
 }
 
 std::string DescribeEnds(const ExecutorState& executor) {
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -27,8 +27,9 @@
           .memory_mb = request.memory_mb * count,
           .gpus = request.gpus * count};
 }
-// Stragglers have run for some times their expected time, so they are found soon enough.
-constexpr Duration kStragglerInterval = 500ms;
+// Bounds how long a change that comes with time alone goes unnoticed: a run becomes a straggler, a
+// quarantine ends.
+constexpr Duration kPeriodicPlanInterval = 500ms;
 
 }  // namespace
 
@@ -287,10 +288,10 @@
     job.OpenOccurrences(unix_ms);
     m_plan_needed |= job.occurrences().size() != before;
   }
-  // A run becomes a straggler without any event.
-  if (m_durations->knows_stragglers() && now - m_stragglers_sought_at >= kStragglerInterval) {
-    m_stragglers_sought_at = now;
-    m_seek_stragglers = m_plan_needed = true;
+  if (now - m_periodic_plan_at >= kPeriodicPlanInterval) {
+    m_periodic_plan_at = now;
+    m_seek_stragglers |= m_durations->knows_stragglers();
+    m_plan_needed = true;
   }
   RemoveEndedExecutors(now);
   ExpireFinalJobs(now);
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -272,12 +272,14 @@
 void PoolScheduler::DetectStuckRun(ExecutorState& executor, Job& job, Run& run,
                                    const ActiveRun& active, TimePoint now) {
   run.metric = active.metric;
+  const StepSpec& spec = job.spec(active.task.step);
   if (active.percent != run.percent) {
+    const bool became_ready = run.percent < kReadyPercent && active.percent >= kReadyPercent;
+    if (spec.long_running && became_ready) executor.health.RecordReady(run.ordered_at);
     run.percent = active.percent;
     run.percent_changed_at = now;
     return;
   }
-  const StepSpec& spec = job.spec(active.task.step);
   const Duration limit = spec.long_running ? kLongRunningStuckAfter : kStuckAfter;
   if (run.phase != RunPhase::kRunning || spec.gang_scheduled || run.pace_percent < 100) return;
   if (run.percent >= kReadyPercent || now - run.percent_changed_at < limit) return;
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -399,7 +399,7 @@
   double m_waiting_cores = 0;
   TeamQuotas m_team_quotas;
   TeamShares m_team_shares;
-  TimePoint m_stragglers_sought_at{};
+  TimePoint m_periodic_plan_at{};
   bool m_seek_stragglers = false;  ///< In the next planning.
   StartBudget m_budget;
   const StartCost* m_cost = nullptr;  ///< During Plan.
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -47,6 +47,8 @@
   bool delays_stops = false;     ///< Stops have no response and are carried out late.
   bool delays_holds = false;     ///< Holds have no response and are carried out late.
   bool fails_everything = false;
+  bool rejects_starts =
+      false;  ///< Starts are answered, as by an unhealthy executor, without effect.
   double slowdown_factor = 1;
   Duration stop_grace{};  ///< How long a run that is stopped goes on.
   /// A late start is judged by the lease that the executor has by then, not by its own one.
@@ -146,6 +148,7 @@
   StartAnswer CarryOut(const StartOrder& order, const StartTerms& terms, TimePoint now) {
     Advance(now);
     if (!IsMeantForThis(terms.incarnation_unix_ms)) return StartAnswer::kNotSent;
+    if (rejects_starts) return StartAnswer::kUnhealthy;
     if (terms.fencing_token < m_token) return StartAnswer::kFenced;
     m_token = terms.fencing_token;
     const bool passed = terms.lease_until_ms <= ClockMs(now);
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -236,6 +236,63 @@
   EXPECT_EQ(pool.State(JobId("good")), JobState::kCompleted);
 }
 
+// Guards against executors that are never used again (LOST, review/8): after one rejected start
+// they were on probation until a task ended, and the long-running task on each of them never ends.
+TEST(PoolSchedulerTest, LongRunningTaskDoesNotProlongProbation) {
+  FakePool pool(2);
+  StepSpec lasting = MakeStep(2, 1000, 0s);
+  lasting.long_running = true;
+  lasting.max_per_executor = 1;
+  pool.Submit(MakeJob("lasting", {lasting}));
+  pool.Run(300ms);
+  for (auto& [id, executor] : pool.executors()) executor.rejects_starts = true;
+  pool.Submit(MakeJob("rejected", {MakeStep(4, 1000, 200ms)}));
+  pool.Run(300ms);
+  EXPECT_TRUE(pool.Noted("start_refused"));
+  for (auto& [id, executor] : pool.executors()) executor.rejects_starts = false;
+  EXPECT_TRUE(pool.RunUntilFinal(JobId("rejected"), 5s));
+  pool.Submit(MakeJob("next", {MakeStep(8, 1000, 200ms)}));
+  EXPECT_TRUE(pool.RunUntilFinal(JobId("next"), 500ms)) << "the executors are still on probation";
+}
+
+// Guards against an executor that runs one task at a time for as long as its first task after a
+// quarantine takes.
+TEST(PoolSchedulerTest, LongTaskDoesNotProlongProbation) {
+  FakePool pool(1);
+  pool.Submit(MakeJob("long", {MakeStep(1, 1000, 60s)}));
+  pool.Run(300ms);
+  pool.executor("x0").rejects_starts = true;
+  pool.Submit(MakeJob("next", {MakeStep(4, 1000, 200ms)}));
+  pool.Run(300ms);
+  pool.executor("x0").rejects_starts = false;
+  EXPECT_TRUE(pool.RunUntilFinal(JobId("next"), 8s));
+}
+
+// Guards against a first quarantine of 8 s in place of 2 s: each of the tasks that were ordered
+// together and were rejected together prolonged it.
+TEST(PoolSchedulerTest, StartsThatAreRejectedTogetherCountOnce) {
+  ExecutorHealth health;
+  const TimePoint now{1s};
+  for (int i = 0; i < 4; ++i) health.Quarantine(now + i * 1ms);
+  EXPECT_TRUE(health.quarantined(now + 1900ms));
+  EXPECT_FALSE(health.quarantined(now + 2100ms));
+}
+
+// Guards against a quarantined executor that is only used again after some other event in its pool,
+// where run times are not learned.
+TEST(PoolSchedulerTest, WaitingTasksArePlannedAfterAQuarantine) {
+  FakePool pool(1);
+  pool.make_durations = [] { return MakeDurationModel(RunTimeUse::kDeclared); };
+  pool.TakeOver();
+  pool.Run(100ms);
+  pool.executor("x0").rejects_starts = true;
+  pool.Submit(MakeJob("a", {MakeStep(1, 1000, 200ms)}));
+  pool.Run(200ms);
+  EXPECT_FALSE(pool.scheduler().plan_needed());
+  pool.scheduler().Advance(pool.now() + 3s, 0);
+  EXPECT_TRUE(pool.scheduler().plan_needed());
+}
+
 // Guards against attributing the runs of an executor's previous incarnation to its new one.
 TEST(PoolSchedulerTest, RestartedExecutorHasNoRunsOfItsPreviousIncarnation) {
   FakePool pool(1);
