Take a pool for full only for steps of the same size or larger

Cause: PoolScheduler::UnplacedSteps counted steps that could not be placed by label, spread and need of tickets, whatever their size and whatever had kept them from executors, and passed over all later steps of the kind after 40 of them, and all steps after 400. With steps of 20 missing labels, or with steps that have a task on each executor already, the same happens.

A step for which no executor with its label has room is now evidence only for steps of its size or larger. A step that is kept from executors with room, by its other tasks, racks or tickets, is evidence for none; a round tries 400 of those, and the next rounds the others, which bounds the work.

--- a/src/decisions/scheduling/internal/placement.cc
+++ b/src/decisions/scheduling/internal/placement.cc
@@ -11,14 +11,14 @@
 // a short task for capacity near its data.
 constexpr Duration kMaxRackWait = 1s;
 
-Resources Counted(const StepSpec& spec) {
+}  // namespace
+
+Resources CountedRequest(const StepSpec& spec) {
   Resources request = spec.request;
   if (spec.uses_leftover_cpu) request.cpu_millicores = 0;
   return request;
 }
 
-}  // namespace
-
 int Placer::CountOnExecutor(const Step& step, const ExecutorId& executor) {
   int count = 0;
   for (const Task& task : step.tasks) {
@@ -33,19 +33,37 @@
   if (candidate.slowness <= 1 || placement.spec.long_running) return false;
   if (placement.decides_end) return true;
   const auto capacity = static_cast<double>(candidate.executor->info.capacity.cpu_millicores);
-  const auto used =
-      static_cast<double>(candidate.executor->info.capacity.cpu_millicores -
-                          candidate.free.cpu_millicores + Counted(placement.spec).cpu_millicores);
+  const auto used = static_cast<double>(candidate.executor->info.capacity.cpu_millicores -
+                                        candidate.free.cpu_millicores +
+                                        CountedRequest(placement.spec).cpu_millicores);
   return used > capacity / candidate.slowness;
 }
 
+bool Placer::HasRequiredLabel(const Candidate& candidate, const StepSpec& spec) {
+  const std::vector<std::string>& labels = candidate.executor->info.labels;
+  return spec.required_label.empty() ||
+         std::find(labels.begin(), labels.end(), spec.required_label) != labels.end();
+}
+
+bool Placer::HasRoomFor(const Candidate& candidate, const StepSpec& spec,
+                        const Resources& request) {
+  if (candidate.reserved && !spec.long_running) return false;
+  // A gang starts together, so its members count as one.
+  if (candidate.starts_left <= 0 && !spec.gang_scheduled) return false;
+  return Fits(request, candidate.free);
+}
+
+bool Placer::HasRoom(const StepSpec& spec) const {
+  const Resources request = CountedRequest(spec);
+  return std::any_of(m_candidates.begin(), m_candidates.end(), [&](const Candidate& candidate) {
+    return HasRoomFor(candidate, spec, request) && HasRequiredLabel(candidate, spec);
+  });
+}
+
 bool Placer::Allows(const Candidate& candidate, const StepPlacement& placement) const {
   const StepSpec& spec = placement.spec;
   const ExecutorDescription& info = candidate.executor->info;
-  if (!spec.required_label.empty() &&
-      std::find(info.labels.begin(), info.labels.end(), spec.required_label) == info.labels.end()) {
-    return false;
-  }
+  if (!HasRequiredLabel(candidate, spec)) return false;
   if (placement.needs_ticket && !placement.step.tickets.contains(info.id)) return false;
   return spec.max_per_executor <= 0 ||
          CountOnExecutor(placement.step, info.id) < spec.max_per_executor;
@@ -93,15 +111,12 @@
 
 ExecutorState* Placer::Place(const StepPlacement& placement, const ExecutorId& avoided) {
   const StepSpec& spec = placement.spec;
-  const Resources request = Counted(spec);
+  const Resources request = CountedRequest(spec);
   const RackName rack = RequiredRack(placement);
   Candidate* best = nullptr;
   int best_reluctance = 0;
   for (Candidate& candidate : m_candidates) {
-    if (candidate.reserved && !spec.long_running) continue;
-    // A gang starts together, so its members count as one.
-    if (candidate.starts_left <= 0 && !spec.gang_scheduled) continue;
-    if (!Fits(request, candidate.free)) continue;
+    if (!HasRoomFor(candidate, spec, request)) continue;
     if (!rack.empty() && candidate.executor->info.rack != rack) continue;
     if (!Allows(candidate, placement)) continue;
     const int reluctance = candidate.executor->info.id == avoided ? 2
@@ -154,7 +169,7 @@
 }
 
 void Placer::Reserve(const StepPlacement& placement) {
-  const Resources request = Counted(placement.spec);
+  const Resources request = CountedRequest(placement.spec);
   const auto reserved = static_cast<size_t>(
       std::count_if(m_candidates.begin(), m_candidates.end(),
                     [](const Candidate& candidate) { return candidate.reserved; }));
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -12,11 +12,11 @@
 // A registry entry that was lost while the store was unavailable returns within two seconds of the
 // store's recovery.
 constexpr Duration kUnlistedGracePeriod = 5s;
-// Number of steps without capacity, in rank order, after which the pool is considered full for
-// steps that may use the same executors.
-constexpr int kMaxUnplacedSteps = 40;
-// Bounds the work of a planning round in which steps of many kinds cannot be placed.
-constexpr int kMaxUnplacedStepsOfAllKinds = 400;
+// Number of steps without room, in rank order, after which none of the same size or larger is
+// tried.
+constexpr size_t kMaxStepsWithoutRoom = 40;
+// Bounds the work of a planning round by the steps that are kept from executors with room.
+constexpr int kMaxConstrainedSteps = 400;
 // More than any limit of a team. Sums of several such amounts fit 64 bits.
 constexpr Resources kUnknownCapacity{.cpu_millicores = 10'000'000'000'000,
                                      .memory_mb = 10'000'000'000'000,
@@ -33,32 +33,68 @@
 
 }  // namespace
 
-/// Counts the steps of a planning round that could not be placed, by what limits the executors
-/// that they may use. Steps that wait for the only executor with a label, or for executors without
-/// another task of their step, do not show that the pool is full for others.
+/// Steps of a planning round that could not be placed. What fits nowhere shows that steps of the
+/// same size and larger ones with the same label do not fit either, and nothing about others.
 class PoolScheduler::UnplacedSteps {
  public:
-  /// @return whether a step like this would not find capacity either.
-  bool IsFull(const StepSpec& spec, bool needs_ticket) const {
-    if (m_total >= kMaxUnplacedStepsOfAllKinds) return true;
-    const auto found = m_counts.find(KindOf(spec, needs_ticket));
-    return found != m_counts.end() && found->second >= kMaxUnplacedSteps;
-  }
-  void Count(const StepSpec& spec, bool needs_ticket) {
-    ++m_counts[KindOf(spec, needs_ticket)];
-    ++m_total;
+  /// @param pass the current pass over the constrained steps.
+  explicit UnplacedSteps(int64_t pass) : m_pass(pass) {}
+
+  /// @return whether a step is not tried in this round, since it would not find room either, or
+  ///   since others like it have to be tried first.
+  bool IsSkipped(const StepSpec& spec, const Step& step) {
+    if (m_waiting_for_link >= kMaxStepsWithoutRoom) return true;
+    const bool tried = step.constrained_in_pass == m_pass;
+    const bool postponed = step.constrained_in_pass != 0 && m_constrained >= kMaxConstrainedSteps;
+    m_any_constrained |= tried || postponed;
+    m_postponed |= postponed && !tried;
+    if (tried || postponed) return true;
+    const auto found = m_without_room.find(spec.required_label);
+    if (found == m_without_room.end()) return false;
+    const Resources request = CountedRequest(spec);
+    size_t smaller = 0;
+    for (const auto& [size, count] : found->second) {
+      if (Fits(size, request)) smaller += count;
+    }
+    return smaller >= kMaxStepsWithoutRoom;
   }
-  bool empty() const { return m_total == 0; }
 
- private:
-  using Kind = std::tuple<std::string_view, bool, bool>;
+  /// Counts a step for which no executor has room.
+  void CountWithoutRoom(const StepSpec& spec) {
+    std::vector<std::pair<Resources, size_t>>& sizes = m_without_room[spec.required_label];
+    const Resources request = CountedRequest(spec);
+    const auto known = std::find_if(sizes.begin(), sizes.end(),
+                                    [&](const auto& entry) { return entry.first == request; });
+    if (known != sizes.end()) {
+      ++known->second;
+    } else {
+      sizes.emplace_back(request, 1);
+    }
+  }
+  /// Counts a step that is kept from the executors with room, by tickets, racks or its other tasks.
+  /// Long-running steps are tried in each round, so they do not take the turns of others.
+  void CountConstrained(const StepSpec& spec, Step& step) {
+    step.constrained_in_pass = m_pass;
+    m_any_constrained = true;
+    if (!spec.long_running) ++m_constrained;
+  }
+  /// Counts a step for which the owner's link is too busy. It stays so for the rest of the round.
+  void CountWaitingForLink() { ++m_waiting_for_link; }
 
-  static Kind KindOf(const StepSpec& spec, bool needs_ticket) {
-    return {spec.required_label, spec.max_per_executor > 0, needs_ticket};
+  bool empty() const {
+    return m_without_room.empty() && m_waiting_for_link == 0 && !m_any_constrained;
   }
+  /// @return whether all constrained steps have been tried in the current pass.
+  bool pass_ended() const { return !m_postponed; }
 
-  std::map<Kind, int> m_counts;
-  int m_total = 0;
+ private:
+  int64_t m_pass;
+  std::map<std::string_view, std::vector<std::pair<Resources, size_t>>>
+      m_without_room;  // By label.
+  int m_constrained = 0;
+  size_t m_waiting_for_link = 0;
+  bool m_any_constrained = false;
+  bool m_postponed = false;  // A step has yet to be tried in this pass.
 };
 
 /// A job with tasks to place, and its rank.
@@ -468,7 +504,7 @@
   m_waiting_cores = 0;
   std::vector<Candidate> candidates = MakeCandidates(now);
   Placer placer(candidates, now);
-  UnplacedSteps unplaced;
+  UnplacedSteps unplaced(m_constrained_pass);
   if (m_team_quotas.has_limits()) m_team_quotas.BeginRound(UnresolvedCapacity());
   if (m_team_shares.active()) {
     Resources capacity;
@@ -483,14 +519,19 @@
         if (!Job::IsReady(occurrence.steps[step])) continue;
         // A previous owner may have started tasks on an executor that has not reported yet.
         if (job.inherited() && TakeoverUnresolved()) continue;
-        const bool needs_ticket = PolicyOf(job).needs_advice;
-        if (!spec.long_running && unplaced.IsFull(spec, needs_ticket)) continue;
-        if (!PlaceStep(job, number, static_cast<int>(step), placer, now)) {
-          unplaced.Count(spec, needs_ticket);
+        if (!spec.long_running && unplaced.IsSkipped(spec, occurrence.steps[step])) continue;
+        if (PlaceStep(job, number, static_cast<int>(step), placer, now)) continue;
+        if (!m_budget.available()) {
+          unplaced.CountWaitingForLink();
+        } else if (!placer.HasRoom(spec)) {
+          unplaced.CountWithoutRoom(spec);
+        } else {
+          unplaced.CountConstrained(spec, occurrence.steps[step]);
         }
       }
     }
   }
+  if (unplaced.pass_ended()) ++m_constrained_pass;
   const bool nothing_waits = unplaced.empty() && m_waiting_cores == 0;
   if (std::exchange(m_seek_stragglers, false) && nothing_waits) CopyStragglers(placer, now);
   if (m_team_quotas.has_limits()) {
@@ -623,7 +664,7 @@
   Resources use;
   for (const RunRef& ref : executor.runs) {
     if (!ref.job->spec(ref.task.step).long_running) continue;
-    use += CountedRequest(*ref.job, ref.task.step);
+    use += CountedRequest(ref.job->spec(ref.task.step));
   }
   return use;
 }
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -66,21 +66,14 @@
 
 }  // namespace
 
-Resources PoolScheduler::CountedRequest(const Job& job, int step) const {
-  const StepSpec& spec = job.spec(step);
-  Resources request = spec.request;
-  if (spec.uses_leftover_cpu) request.cpu_millicores = 0;
-  return request;
-}
-
 void PoolScheduler::Charge(ExecutorState& executor, const Job& job, int step) {
-  executor.used += CountedRequest(job, step);
+  executor.used += CountedRequest(job.spec(step));
   // The quota of a team covers best-effort tasks in full.
   m_team_quotas.Charge(job.definition()->team, job.spec(step).request);
 }
 
 void PoolScheduler::Refund(ExecutorState& executor, const Job& job, int step) {
-  executor.used -= CountedRequest(job, step);
+  executor.used -= CountedRequest(job.spec(step));
   m_team_quotas.Refund(job.definition()->team, job.spec(step).request);
 }
 
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -67,6 +67,8 @@
   std::map<ExecutorId, std::string> tickets;  ///< Issued by the placement adviser, if needed.
   std::optional<TimePoint> tickets_valid_until;
   bool tickets_requested = false;  ///< A call to the adviser is in progress.
+  /// The pass of the scheduler in which the step could not be placed although executors had room.
+  int64_t constrained_in_pass = 0;
 };
 
 /// One execution of all steps of a job.
--- a/src/decisions/scheduling/placement.h
+++ b/src/decisions/scheduling/placement.h
@@ -35,6 +35,9 @@
   bool decides_end = false;   ///< The end of the job depends on this step.
 };
 
+/// @return the resources that a task of a step is charged with.
+Resources CountedRequest(const StepSpec& spec);
+
 /// Chooses executors for tasks during one planning round.
 class Placer {
  public:
@@ -51,6 +54,10 @@
   /// Chooses executors for all tasks of a gang-scheduled step, or for none.
   /// @return one executor for each task, or nothing.
   std::optional<std::vector<ExecutorState*>> PlaceGang(const StepPlacement& placement);
+  /// @return whether an executor has room for one more task of a step, whatever else keeps the task
+  ///   from it: racks, tickets, or other tasks of the step. Once there is none, there is none for
+  ///   the rest of the round.
+  bool HasRoom(const StepSpec& spec) const;
   /// Reserves an executor on which a long-running task will fit once the other tasks have ended, so
   /// that smaller tasks do not take the capacity that becomes free: the one with the most free CPU.
   /// At most half of the executors are reserved, or one, so that other tasks can still be placed;
@@ -63,6 +70,11 @@
   ///   the end of its job or the executor has its share of other tasks, which is inversely
   ///   proportional to its slowness.
   static bool IsLastResort(const Candidate& candidate, const StepPlacement& placement);
+  /// @return whether the executor has the label that the step requires.
+  static bool HasRequiredLabel(const Candidate& candidate, const StepSpec& spec);
+  /// @return whether a task of the step fits on the executor in this round.
+  static bool HasRoomFor(const Candidate& candidate, const StepSpec& spec,
+                         const Resources& request);
   bool Allows(const Candidate& candidate, const StepPlacement& placement) const;
   /// @return the rack to which the tasks are restricted for now, or empty.
   RackName RequiredRack(const StepPlacement& placement) const;
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -366,8 +366,6 @@
   void ExpireFinalJobs(TimePoint now);
   /// Drops executors that have been unlisted for a grace period and have no run left.
   void RemoveEndedExecutors(TimePoint now);
-  /// @return the resources that a run of the step is charged with.
-  Resources CountedRequest(const Job& job, int step) const;
   /// @return the resources of an executor that are allocated to long-running tasks.
   Resources LongRunningUse(const ExecutorState& executor) const;
   /// @return the summaries that differ from the published ones.
@@ -400,6 +398,9 @@
   TeamQuotas m_team_quotas;
   TeamShares m_team_shares;
   TimePoint m_periodic_plan_at{};
+  /// Number of the current pass over the steps whose constraints keep them from being placed. Such
+  /// a pass takes several planning rounds if there are many.
+  int64_t m_constrained_pass = 1;
   bool m_seek_stragglers = false;  ///< In the next planning.
   StartBudget m_budget;
   const StartCost* m_cost = nullptr;  ///< During Plan.
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -660,6 +660,89 @@
   pool.Run(1s);
   for (const auto& [task, count] : pool.starts) EXPECT_EQ(count, 1);
 }
+// Guards against a pool that is taken for full because of steps that are too large for any executor
+// (LOST, review/10): 40 of them, ahead in rank, kept all smaller ones from starting.
+TEST(PoolSchedulerTest, TooLargeStepsDoNotKeepSmallerOnesFromRunning) {
+  FakePool pool(2);
+  pool.Run(100ms);
+  for (int i = 0; i < 60; ++i) {
+    pool.Submit(MakeJob("large" + std::to_string(i), {MakeStep(1, 32000, 10ms)}));
+  }
+  pool.Submit(MakeJob("other", {MakeStep(4, 4000, 300ms)}));
+  EXPECT_TRUE(pool.RunUntilFinal(JobId("other"), 500ms));
+  EXPECT_EQ(pool.State(JobId("large0")), JobState::kQueued);
+}
+
+// Guards against the same with steps that fit on an empty executor, but not beside long-running
+// tasks.
+TEST(PoolSchedulerTest, StepsTooLargeForWhatIsFreeDoNotKeepSmallerOnesFromRunning) {
+  FakePool pool(2);
+  StepSpec lasting = MakeStep(2, 7000, 0s);
+  lasting.long_running = true;
+  lasting.max_per_executor = 1;
+  pool.Submit(MakeJob("lasting", {lasting}));
+  pool.Run(300ms);
+  for (int i = 0; i < 60; ++i) {
+    pool.Submit(MakeJob("large" + std::to_string(i), {MakeStep(1, 10000, 10ms)}));
+  }
+  pool.Submit(MakeJob("other", {MakeStep(4, 4000, 300ms)}));
+  EXPECT_TRUE(pool.RunUntilFinal(JobId("other"), 500ms));
+}
+
+// Guards against a pool that is taken for full because of many steps, each kind of which is limited
+// by another label.
+TEST(PoolSchedulerTest, StepsWithManyMissingLabelsDoNotKeepOthersFromRunning) {
+  FakePool pool(2);
+  pool.Run(100ms);
+  for (int i = 0; i < 600; ++i) {
+    StepSpec step = MakeStep(1, 100, 10ms);
+    step.required_label = "lost" + std::to_string(i % 20);
+    pool.Submit(MakeJob("lost" + std::to_string(i), {step}));
+  }
+  pool.Submit(MakeJob("other", {MakeStep(1, 4000, 300ms)}));
+  EXPECT_TRUE(pool.RunUntilFinal(JobId("other"), 500ms));
+}
+
+// Guards against jobs that do not start, although executors are idle, behind others that have a
+// task on each executor and may not have a second one there.
+TEST(PoolSchedulerTest, StepsThatAreSpreadDoNotKeepOthersFromRunning) {
+  constexpr Resources kRoomy{.cpu_millicores = 16000, .memory_mb = 200'000};
+  FakePool pool(2, kRoomy);
+  pool.Run(100ms);
+  StepSpec spread = MakeStep(3, 5, 20s);
+  spread.max_per_executor = 1;
+  for (int i = 0; i < 1000; ++i) pool.Submit(MakeJob("spread" + std::to_string(i), {spread}));
+  pool.Run(500ms);
+  spread = MakeStep(2, 1000, 300ms);
+  spread.max_per_executor = 1;
+  pool.Submit(MakeJob("other", {spread}));
+  EXPECT_TRUE(pool.RunUntilFinal(JobId("other"), 500ms));
+}
+
+// Guards against steps that are never tried again, since more of them than a planning round tries
+// wait for an executor without another task of their step.
+TEST(PoolSchedulerTest, AllStepsThatAreSpreadAreTriedInTurn) {
+  constexpr Resources kRoomy{.cpu_millicores = 16000, .memory_mb = 200'000};
+  FakePool pool(2, kRoomy);
+  pool.Run(100ms);
+  StepSpec spread = MakeStep(3, 5, 20s);
+  spread.max_per_executor = 1;
+  for (int i = 0; i < 1000; ++i) pool.Submit(MakeJob("spread" + std::to_string(i), {spread}));
+  spread.long_running = true;  // These are tried in each round.
+  for (int i = 0; i < 500; ++i) pool.Submit(MakeJob("lasting" + std::to_string(i), {spread}));
+  pool.Run(500ms);
+  const auto running = [&] {
+    size_t count = 0;
+    for (const auto& [id, executor] : pool.executors()) count += executor.running().size();
+    return count;
+  };
+  EXPECT_EQ(running(), 3000u);
+  const ExecutorId added = pool.AddExecutor(kRoomy);
+  pool.scheduler().ListExecutor(pool.executor(added.view()).info(), pool.now());
+  pool.Run(500ms);
+  EXPECT_EQ(running(), 4500u);
+}
+
 
 // Guards against stopping work whose start was answered too late: the executor was only slow, and
 // its next report lists the run.
