Take a report that may leave out ends for incomplete

Cause: an executor lists 500 ends at a time, and a successor took the first report of an inherited executor for a whole one. The record of the case shows tasks that end at 2.29 s, a start of the next epoch at 2.9 s, and the end of the first run being noted after that.

An executor counts as reported after a complete report only, and is asked again at once as long as there is none. Copies of tasks rely on complete reports; moves and maintenance also wait until the ends of an executor are durable.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -56,7 +56,8 @@
   ExecutorDescription info;
   bool listed = false;        ///< It is in the registry.
   bool link_durable = false;  ///< A successor finds its link; required before the first order.
-  bool reported = false;      ///< Its known incarnation has sent a report to this owner.
+  /// Its known incarnation has sent a complete report to this owner, so all of its runs are known.
+  bool reported = false;
   /// A call to a previous incarnation may extend the lease of this one, on the wrong clock, until
   /// this one has a token of its own.
   bool lease_uncertain = false;
@@ -69,7 +70,7 @@
   bool awaits_token = false;    ///< It has not answered a call with its new token yet.
   /// When this owner learned of the known incarnation, if it is not the first one.
   TimePoint incarnation_known_at{};
-  TimePoint report_requested_at{};  ///< When its last report was requested.
+  TimePoint report_requested_at{};  ///< When its last complete report was requested.
   /// When the last call without a response was made while the executor was not responding.
   TimePoint unanswered_call_at{};
   bool report_wanted = false;  ///< The next report is to be returned without waiting.
@@ -100,6 +101,10 @@
   int long_running_tasks() const;
   /// @return whether new tasks may be placed.
   bool Usable(TimePoint now) const;
+  /// @return whether it is known to run nothing, and the effects of all that has run are durable,
+  /// so
+  ///   that nothing is lost with it.
+  bool IsEmpty() const { return reported && runs.empty() && durable_end >= applied_end; }
 
  private:
   /// @return whether a run may still show that the executor, which is on probation, does not work.
--- a/src/decisions/scheduling/internal/reports.cc
+++ b/src/decisions/scheduling/internal/reports.cc
@@ -8,8 +8,6 @@
 namespace citronferry::scheduling {
 namespace {
 
-// Maximum number of ends in a report; a report with as many may be incomplete.
-constexpr size_t kMaxListedEnds = 500;
 // Time without progress after which a run is stuck. The longest tasks take 5 s, so even an executor
 // slowed down six times completes one percent in 0.3 s.
 constexpr Duration kStuckAfter = 2500ms;
@@ -75,8 +73,7 @@
   }
   for (const ActiveRun& active : report.active) ApplyActive(*executor, active, now);
   PaceBestEffortTasks(*executor);
-  if (report.ended.size() < kMaxListedEnds)
-    RemoveVanishedRuns(*executor, report, fences, requested_at, now);
+  if (!report.incomplete) RemoveVanishedRuns(*executor, report, fences, requested_at, now);
 
   if (!executor->responding) {
     Note("executor_in_touch", {}, 0, id,
@@ -84,11 +81,17 @@
              std::to_string(ToMilliseconds(now - executor->lease_bound)) + " ms ago");
   }
   if (!executor->responding || !executor->reported) m_plan_needed = true;
-  executor->report_requested_at = requested_at;
   executor->answered_fences = fences;
   if (std::exchange(executor->awaits_token, false)) m_plan_needed = true;
   if (std::exchange(executor->report_wanted, false)) m_seek_stragglers = m_plan_needed = true;
   executor->responding = executor->contacted = true;
+  if (report.incomplete) {
+    // What has ended on the executor is known with the rest of the ends.
+    executor->report_wanted = true;
+    if (!executor->reported) Note("report_incomplete", {}, 0, id, DescribeEnds(*executor));
+    return;
+  }
+  executor->report_requested_at = requested_at;
   executor->reported = true;
 }
 
--- a/src/decisions/scheduling/tests/fake_pool.h
+++ b/src/decisions/scheduling/tests/fake_pool.h
@@ -23,6 +23,8 @@
  public:
   /// Longest lease that an executor accepts.
   static constexpr Duration kMaxLease = 10s;
+  /// Most ends in a report; those after them are reported once these are acknowledged.
+  static constexpr size_t kMaxListedEnds = 500;
 
   struct Running {
     TaskId task;
@@ -137,8 +139,10 @@
       report.active.push_back(
           {.task = running.task, .run = running.run, .percent = Percent(running, now)});
     }
-    report.ended.assign(m_ended.begin(), m_ended.end());
-    for (const EndedRun& ended : m_ended) {
+    const size_t listed = std::min(m_ended.size(), kMaxListedEnds);
+    report.ended.assign(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    report.incomplete = listed < m_ended.size();
+    for (const EndedRun& ended : report.ended) {
       if (m_ledger && ended.number > m_last_lapsed) m_ledger->OnListed(ended.task, ended.run, now);
     }
     return report;
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -168,6 +168,26 @@
   EXPECT_EQ(pool.CopiesOf(task), 1);
 }
 
+// Guards against second runs of tasks that have succeeded (TWICE, review/6): more runs had ended on
+// an executor since the loss of its owner than one report lists, and the successor took the first
+// report for a complete one.
+TEST(PoolSchedulerTest, SuccessorReadsAllEndsBeforeItStartsTasks) {
+  FakePool pool(2, {.cpu_millicores = 64000, .memory_mb = 256'000});
+  for (int i = 0; i < 20; ++i) {
+    pool.Submit(MakeJob("job" + std::to_string(i), {MakeStep(64, 10, 1500ms)}));
+  }
+  pool.Run(300ms);
+  ASSERT_GT(pool.executor("x0").running().size() + pool.executor("x1").running().size(), 1200u);
+  pool.owner_paused = true;
+  pool.Run(2s);
+  pool.owner_paused = false;
+  pool.TakeOver();
+  pool.Run(5s);
+  for (const auto& [task, count] : pool.starts) EXPECT_EQ(count, 1) << task.index;
+  EXPECT_EQ(pool.ledger().FindRepeatedTask(), std::nullopt);
+  EXPECT_EQ(pool.State(JobId("job19")), JobState::kCompleted);
+}
+
 // Guards against losing active runs in a takeover.
 TEST(PoolSchedulerTest, SuccessorAdoptsActiveRuns) {
   FakePool pool(3);
@@ -639,27 +659,6 @@
   EXPECT_EQ(pool.State(JobId("lost0")), JobState::kQueued);
 }
 
-// Guards against commits that grow with the number of executors: each end rewrote the link of its
-// executor, which took half of the bytes that an owner on a thin link may send.
-TEST(PoolSchedulerTest, EndsAreAcknowledgedWithoutRewritingLinks) {
-  FakePool pool(4);
-  pool.Run(100ms);
-  pool.link_writes = 0;
-  for (int i = 0; i < 10; ++i) {
-    pool.Submit(MakeJob("a" + std::to_string(i), {MakeStep(8, 1000, 100ms)}));
-  }
-  pool.Run(2s);
-  EXPECT_EQ(pool.State(JobId("a9")), JobState::kCompleted);
-  EXPECT_EQ(pool.link_writes, 0);
-  for (const auto& [id, executor] : pool.scheduler().executors()) {
-    EXPECT_GT(executor.durable_end, 0);
-    EXPECT_EQ(executor.durable_end, executor.applied_end);
-  }
-  // The links that a successor reads are from before these ends.
-  pool.TakeOver();
-  pool.Run(1s);
-  for (const auto& [task, count] : pool.starts) EXPECT_EQ(count, 1);
-}
 // Guards against a pool that is taken for full because of steps that are too large for any executor
 // (LOST, review/10): 40 of them, ahead in rank, kept all smaller ones from starting.
 TEST(PoolSchedulerTest, TooLargeStepsDoNotKeepSmallerOnesFromRunning) {
@@ -743,6 +742,27 @@
   EXPECT_EQ(running(), 4500u);
 }
 
+// Guards against commits that grow with the number of executors: each end rewrote the link of its
+// executor, which took half of the bytes that an owner on a thin link may send.
+TEST(PoolSchedulerTest, EndsAreAcknowledgedWithoutRewritingLinks) {
+  FakePool pool(4);
+  pool.Run(100ms);
+  pool.link_writes = 0;
+  for (int i = 0; i < 10; ++i) {
+    pool.Submit(MakeJob("a" + std::to_string(i), {MakeStep(8, 1000, 100ms)}));
+  }
+  pool.Run(2s);
+  EXPECT_EQ(pool.State(JobId("a9")), JobState::kCompleted);
+  EXPECT_EQ(pool.link_writes, 0);
+  for (const auto& [id, executor] : pool.scheduler().executors()) {
+    EXPECT_GT(executor.durable_end, 0);
+    EXPECT_EQ(executor.durable_end, executor.applied_end);
+  }
+  // The links that a successor reads are from before these ends.
+  pool.TakeOver();
+  pool.Run(1s);
+  for (const auto& [task, count] : pool.starts) EXPECT_EQ(count, 1);
+}
 
 // Guards against stopping work whose start was answered too late: the executor was only slow, and
 // its next report lists the run.
--- a/src/decisions/scheduling/types.h
+++ b/src/decisions/scheduling/types.h
@@ -192,6 +192,9 @@
   int64_t clock_ms = 0;  ///< The executor's steady clock.
   std::vector<ActiveRun> active;
   std::vector<EndedRun> ended;  ///< Ends that the owner has not acknowledged, in order.
+  /// More runs may have ended than the report lists. The rest is listed once these ends are
+  /// acknowledged.
+  bool incomplete = false;
 };
 
 /// Result of a start order.
--- a/src/fleet/pool/internal/instance_mover.cc
+++ b/src/fleet/pool/internal/instance_mover.cc
@@ -57,7 +57,7 @@
 bool InstanceMover::IsIdle(const scheduling::ExecutorId& id) const {
   const ExecutorState* executor = m_owner.scheduler().FindExecutor(id);
   if (!executor || !executor->listed || executor->info.leaving || executor->cordoned) return false;
-  return executor->responding && executor->runs.empty();
+  return executor->responding && executor->IsEmpty();
 }
 
 std::vector<const Instance*> InstanceMover::Movable() const {
--- a/src/fleet/pool/internal/maintenance_coordinator.cc
+++ b/src/fleet/pool/internal/maintenance_coordinator.cc
@@ -237,7 +237,7 @@
     m_owner.ProcessUpdates();
     co_return;
   }
-  if (!executor->responding) co_return;
+  if (!executor->responding || !executor->IsEmpty()) co_return;
   co_await OrderMaintenance(instance);
 }
 
--- a/src/fleet/relay/internal/relay_messages.cc
+++ b/src/fleet/relay/internal/relay_messages.cc
@@ -123,6 +123,7 @@
 void EncodeReport(const scheduling::ExecutorReport& report, wire::Report& out) {
   out.set_incarnation_unix_ms(report.incarnation_unix_ms);
   out.set_clock_ms(report.clock_ms);
+  out.set_incomplete(report.incomplete);
   for (const ActiveRun& active : report.active) {
     wire::ActiveRun& run = *out.add_active();
     EncodeTask(active.task, *run.mutable_task());
@@ -143,7 +144,8 @@
 
 std::optional<scheduling::ExecutorReport> DecodeReport(const wire::Report& in) {
   scheduling::ExecutorReport report{.incarnation_unix_ms = in.incarnation_unix_ms(),
-                                    .clock_ms = in.clock_ms()};
+                                    .clock_ms = in.clock_ms(),
+                                    .incomplete = in.incomplete()};
   for (const wire::ActiveRun& run : in.active()) {
     const auto task = DecodeTask(run.task());
     if (!task || run.percent() > kFullPercent) return std::nullopt;
--- a/src/fleet/tests/relay_test.cc
+++ b/src/fleet/tests/relay_test.cc
@@ -471,6 +471,15 @@
   EXPECT_EQ(results->front().report.active.size(), 1u);
 }
 
+// Guards against second runs of tasks after the loss of an owner: a report that leaves out ends was
+// taken for complete when a relay had passed it on.
+TEST(RelayMessagesTest, IncompleteReportStaysIncomplete) {
+  const RelayedResult result{.number = 3, .report = {.clock_ms = 7, .incomplete = true}};
+  const auto results = DecodeResults(EncodeResults(std::span(&result, 1)));
+  ASSERT_TRUE(results);
+  EXPECT_TRUE(results->front().report.incomplete);
+}
+
 // Malformed batches must neither end the process nor yield values out of range.
 TEST(RelayMessagesTest, CorruptedBatchesAreDecodedOrRejected) {
   RelayedCall start{.number = 3,
--- a/src/platform/internal/executors.cc
+++ b/src/platform/internal/executors.cc
@@ -34,6 +34,9 @@
      {"room", StartAnswer::kInsufficientCapacity},
      {"ticket", StartAnswer::kTicketInvalid}}};
 
+// Most ends in a report. One with as many may leave out others.
+constexpr size_t kMaxListedEnds = 500;
+
 // The address now belongs to another executor than the one in X-Expect-Instance.
 constexpr int kStatusMisdirectedRequest = 421;
 
@@ -97,6 +100,7 @@
     }
   }
   if (const bj::array* rows = reader.Array("finished")) {
+    report.incomplete = rows->size() >= kMaxListedEnds;
     for (const bj::value& row : *rows) {
       if (auto ended = DecodeEndedRun(row)) report.ended.push_back(std::move(*ended));
     }
--- a/src/platform/tests/platform_test.cc
+++ b/src/platform/tests/platform_test.cc
@@ -136,6 +136,21 @@
   EXPECT_FALSE(DecodeReport("{}").ok());
 }
 
+// Guards against second runs of tasks after the loss of an owner (TWICE, review/6): a report with
+// as many ends as executors list at most, of which some cannot be read, was taken for complete.
+TEST(PlatformExecutorTest, ReportWithTheMostEndsIsIncomplete) {
+  const auto report_with = [](int ends) {
+    std::string text = R"({"clockMs":482113,"finished":[[1,"x",1,"done",""])";
+    for (int i = 2; i <= ends; ++i) {
+      text += ",[" + std::to_string(i) + R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+    }
+    return DecodeReport(text + "]}");
+  };
+  EXPECT_TRUE(report_with(500)->incomplete);
+  EXPECT_EQ(report_with(500)->ended.size(), 499u);
+  EXPECT_FALSE(report_with(499)->incomplete);
+}
+
 class ClientProtocolTest : public ::testing::Test {
  protected:
   ClientProtocolTest() {
