Store progress in several rows, and commit rejected rows apart

Cause: the row of a job's progress lists each failed run. Above 64 KB the store rejects the commit for good. StateCommitter ended the ownership then, the next owner read the same reports and had the same commit rejected, until the job failed. No limit of bytes was kept for a transaction either: 40 jobs with rows of over 50 KB, changed at once, had the same effect in a test.

What does not fit into the row goes to rows of progress-parts in the same transaction. A commit holds 600 KB of progress, dirty jobs are taken in turn, and occurrences without any progress are not stored. A batch that the store rejects is split until the row that it rejects is alone; that row is left out and logged, and the owner goes on.

--- a/src/decisions/scheduling/internal/commit.cc
+++ b/src/decisions/scheduling/internal/commit.cc
@@ -1,11 +1,31 @@
 // PoolScheduler: collects state changes for commits and applies the results.
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "decisions/scheduling/pool_scheduler.h"
 
 namespace citronferry::scheduling {
 
+CommitBatch CommitBatch::SplitOff(size_t rows) {
+  CommitBatch rest;
+  const auto split = [&rows](auto& from, auto& to) {
+    const size_t kept = std::min(rows, from.size());
+    rows -= kept;
+    const auto first = from.begin() + static_cast<std::ptrdiff_t>(kept);
+    std::move(first, from.end(), std::back_inserter(to));
+    from.erase(first, from.end());
+  };
+  split(progress, rest.progress);
+  split(removed_links, rest.removed_links);
+  split(removed_jobs, rest.removed_jobs);
+  split(queues, rest.queues);
+  split(links, rest.links);
+  rest.settled = std::exchange(settled, {});
+  rest.run_times = std::exchange(run_times, {});
+  return rest;
+}
+
 bool PoolScheduler::has_dirty() const {
   return !m_dirty_jobs.empty() || !m_dirty_links.empty() || !m_removed_links.empty() ||
          !m_removed_jobs.empty() || !m_unsettled.empty();
@@ -34,9 +54,13 @@
   if (batch.queues.size() > max_rows) batch.queues.resize(max_rows);
   const auto room = [&] { return batch.size() < max_rows; };
   while (room() && !m_dirty_jobs.empty()) {
-    const JobId id = *m_dirty_jobs.begin();
-    m_dirty_jobs.erase(m_dirty_jobs.begin());
-    if (const Job* job = FindJob(id)) batch.progress.emplace_back(id, job->Progress());
+    const auto next = m_dirty_jobs.upper_bound(m_last_taken_job);
+    const auto taken = next == m_dirty_jobs.end() ? m_dirty_jobs.begin() : next;
+    m_last_taken_job = *taken;
+    m_dirty_jobs.erase(taken);
+    if (const Job* job = FindJob(m_last_taken_job)) {
+      batch.progress.emplace_back(m_last_taken_job, job->Progress());
+    }
   }
   while (room() && !m_removed_links.empty()) {
     batch.removed_links.push_back(*m_removed_links.begin());
--- a/src/decisions/scheduling/internal/job.cc
+++ b/src/decisions/scheduling/internal/job.cc
@@ -136,12 +136,14 @@
   if (is_final()) return progress;
   for (const auto& [number, occurrence] : m_occurrences) {
     JobProgress::Occurrence record{.number = number};
+    bool touched = false;
     for (size_t step = 0; step < occurrence.steps.size(); ++step) {
       std::string marks;
       const std::vector<Task>& tasks = occurrence.steps[step].tasks;
       for (size_t index = 0; index < tasks.size(); ++index) {
         const Task& task = tasks[index];
         marks += task.done ? kDoneMark : kOpenMark;
+        touched |= task.done || !task.failed_runs.empty() || !task.checkpoint.empty();
         if (task.done) continue;
         for (const int64_t run : task.failed_runs) {
           progress.failed_runs.push_back({.occurrence = number,
@@ -157,7 +159,8 @@
       }
       record.steps.push_back(std::move(marks));
     }
-    progress.occurrences.push_back(std::move(record));
+    // Thousands of occurrences may be open at once. One without any progress need not be known.
+    if (touched) progress.occurrences.push_back(std::move(record));
   }
   // Occurrences that finished out of order are listed without steps.
   for (const int number : m_finished_occurrences)
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -95,6 +95,11 @@
     return progress.size() + links.size() + removed_links.size() + queues.size() +
            removed_jobs.size();
   }
+  /// Moves all but some rows to another batch, which may be committed with or after this one: links
+  /// and settled ends, which tell that ends were applied, go last.
+  /// @param rows number of rows that stay.
+  /// @return the other rows, with those of run times.
+  CommitBatch SplitOff(size_t rows);
 };
 
 /// A call to the placement adviser for a step.
@@ -385,6 +390,7 @@
   /// Runs given up after the lease of their executor's present incarnation.
   std::map<std::pair<TaskId, int64_t>, ExecutorId> m_abandoned_runs;
   std::set<JobId> m_dirty_jobs;
+  JobId m_last_taken_job;  ///< Commits take dirty jobs in turn, so that none is left out for long.
   std::set<ExecutorId> m_dirty_links;
   std::set<ExecutorId> m_unsettled;  ///< Executors with ends whose effects are not durable.
   std::set<ExecutorId> m_removed_links;
--- a/src/fleet/interfaces/row_store.h
+++ b/src/fleet/interfaces/row_store.h
@@ -47,6 +47,18 @@
 /// Maximum number of conditions, puts and removals in a transaction, all together.
 inline constexpr size_t kMaxTransactionEntries = 100;
 
+/// Maximum size of the value of a row, in bytes. In base64 it stays within 64 KB.
+inline constexpr size_t kMaxRowBytes = 48'000;
+/// Maximum size of the puts of a transaction; see EncodedBytes.
+inline constexpr size_t kMaxTransactionBytes = 950'000;
+
+/// @return an upper bound of the bytes that a put takes in the body of a transaction.
+inline size_t EncodedBytes(const Transaction::Put& put) {
+  constexpr size_t kFieldNames = 100;
+  return (put.value.size() + 2) / 3 * 4 + put.key.table.size() + put.key.partition.size() +
+         put.key.key.size() + kFieldNames;
+}
+
 enum class TransactionOutcome {
   kApplied,
   kConflict,  ///< A condition did not hold; nothing was written.
--- a/src/fleet/internal/tables.cc
+++ b/src/fleet/internal/tables.cc
@@ -312,8 +312,9 @@
   return job;
 }
 
-std::string EncodeProgress(const JobProgress& progress) {
+std::string EncodeProgress(const JobProgress& progress, size_t further_rows) {
   bj::object encoded{{"state", static_cast<int>(progress.state)}};
+  if (further_rows > 0) encoded["further"] = further_rows;
   if (!progress.team.empty()) encoded["team"] = progress.team.str();
   if (progress.finished_occurrences > 0) encoded["finished"] = progress.finished_occurrences;
   bj::array occurrences;
@@ -337,7 +338,7 @@
   return bj::serialize(encoded);
 }
 
-RetVal<JobProgress> DecodeProgress(std::string_view text) {
+RetVal<JobProgress> DecodeProgress(std::string_view text, size_t* further_rows) {
   const auto value = json::Parse(text);
   if (!value.ok()) return value.ret();
   json::ObjectReader reader(value.value());
@@ -348,6 +349,7 @@
   JobProgress progress{.state = static_cast<JobState>(state),
                        .team = TeamName(reader.Text("team")),
                        .finished_occurrences = reader.Count("finished")};
+  if (further_rows) *further_rows = static_cast<size_t>(reader.Count("further"));
   if (const bj::array* occurrences = reader.Array("occurrences")) {
     for (const bj::value& item : *occurrences) {
       json::ObjectReader occurrence(item);
--- a/src/fleet/pool/internal/grant_coordinator.cc
+++ b/src/fleet/pool/internal/grant_coordinator.cc
@@ -23,7 +23,7 @@
 constexpr Duration kIdleInterval = 200ms;
 constexpr Duration kWriteTimeout = 1s;
 // The store takes rows of up to 64 KB.
-constexpr size_t kMaxRowBytes = 60'000;
+constexpr size_t kMaxGrantRowBytes = 60'000;
 
 }  // namespace
 
@@ -126,7 +126,7 @@
     transaction.conditions.push_back({.key = GrantsKey(pool), .version = stored.version});
   }
   std::string value = EncodeGrants(write.row);
-  if (value.size() > kMaxRowBytes) {
+  if (value.size() > kMaxGrantRowBytes) {
     Log(LogLevel::kError, "grants_too_large",
         {{"pool", m_owner.pool().view()}, {"bytes", value.size()}});
     m_planner.OnWriteFailed(false, false, m_context.timers.Now());
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -10,6 +10,7 @@
 #include "fleet/pool/internal/grant_coordinator.h"
 #include "fleet/pool/internal/instance_mover.h"
 #include "fleet/pool/internal/maintenance_coordinator.h"
+#include "fleet/progress_rows.h"
 #include "fleet/relay/relay_client.h"
 #include "fleet/run_time_rows.h"
 #include "fleet/tables.h"
@@ -216,7 +217,7 @@
   RowStore& rows = m_context.platform.rows;
   const auto links = co_await ReadPartition(rows, kLinksTable, m_pool.str());
   if (!links.ok()) co_return links.ret();
-  const auto progress = co_await ReadPartition(rows, kProgressTable, m_pool.str());
+  auto progress = co_await ReadProgress(rows, m_pool);
   if (!progress.ok()) co_return progress.ret();
   const auto jobs = co_await ReadPartitions(rows, JobsTable(m_pool), JobPartitions());
   if (!jobs.ok()) co_return jobs.ret();
@@ -232,18 +233,8 @@
     m_scheduler->InheritExecutor(link.ok() ? link.value()
                                            : scheduling::LinkRecord{.executor = executor});
   }
-  std::map<JobId, scheduling::JobProgress> states;
-  std::set<JobId> unreadable;  // Which of their tasks are done is not known, so none is started.
-  for (const Row& row : progress->rows) {
-    auto state = DecodeProgress(row.value);
-    if (state.ok()) {
-      states.emplace(JobId(row.key.key), std::move(state).value());
-    } else {
-      unreadable.emplace(row.key.key);
-      Log(LogLevel::kError, "progress_unreadable",
-          {{"request", row.key.key}, {"error", state.ret().message()}});
-    }
-  }
+  m_committer->SetFurtherRows(std::move(progress->further_rows));
+  const std::map<JobId, scheduling::JobProgress>& states = progress->jobs;
   co_await LoadRunTimes();
   const TimePoint now = m_context.timers.Now();
   const int64_t unix_ms = UnixMilliseconds();
@@ -252,7 +243,8 @@
     if (CancelledJob(row.key.key)) continue;
     defined.emplace(row.key.key);
     const auto job = ReadDefinition(row);
-    if (!job || unreadable.contains(job->id)) continue;
+    // Which tasks of a job with unreadable progress are done is not known, so none is started.
+    if (!job || progress->unreadable.contains(job->id)) continue;
     const Duration age =
         std::clamp<Duration>(std::chrono::milliseconds(unix_ms - job->accepted_unix_ms),
                              Duration::zero(), kMaxInheritedAge);
--- a/src/fleet/pool/internal/state_committer.cc
+++ b/src/fleet/pool/internal/state_committer.cc
@@ -4,6 +4,7 @@
 
 #include "fleet/backoff.h"
 #include "fleet/pool/internal/pool_owner.h"
+#include "fleet/progress_rows.h"
 #include "fleet/run_time_rows.h"
 #include "supervision/time_of_day.h"
 #include "telemetry/log.h"
@@ -26,6 +27,9 @@
 constexpr size_t kMaxBatchRows = kMaxTransactionEntries - 2 - kMaxRunTimeRows;
 // The last commit also writes the row of the release and those of the handover.
 constexpr size_t kMaxLastBatchRows = kMaxBatchRows - 1 - kMaxHandoverRows;
+// Leaves space for the rows of run times and of a handover, and for the short rows of a batch.
+constexpr size_t kMaxProgressBytes = 600'000;
+static_assert(kMaxProgressRows * kMaxRowBytes * 4 / 3 <= kMaxProgressBytes);
 constexpr Duration kReleaseTimeout = 1500ms;
 // At most 32 KB every 10 s, which takes 1.3 % of a link of 2 Mbit/s. A killed owner loses what it
 // learned in this time.
@@ -45,8 +49,39 @@
       m_version(epoch),
       m_valid_until(acquired_at + kOwnerLease) {}
 
-Transaction StateCommitter::MakeTransaction(const CommitBatch& batch,
+size_t StateCommitter::RowsOf(const JobId& job, const std::vector<std::string>& values) const {
+  const auto stored = m_further_rows.find(job);
+  return std::max(values.size(), stored == m_further_rows.end() ? 0 : stored->second + 1);
+}
+
+StateCommitter::EncodedBatch StateCommitter::Encode(CommitBatch batch, size_t max_rows) {
+  EncodedBatch encoded;
+  size_t rows = batch.size() - batch.progress.size();
+  size_t bytes = 0;
+  for (const auto& [job, progress] : batch.progress) {
+    ProgressRows encoded_rows = EncodeProgressRows(progress);
+    if (encoded_rows.omitted > 0) {
+      Log(LogLevel::kError, "progress_truncated",
+          {{"pool", m_pool.view()}, {"request", job.view()}, {"omitted", encoded_rows.omitted}});
+    }
+    rows += RowsOf(job, encoded_rows.values);
+    for (const std::string& value : encoded_rows.values) {
+      bytes += EncodedBytes({.key = ProgressKey(m_pool, job), .value = value});
+    }
+    const bool fits = rows <= max_rows && bytes <= kMaxProgressBytes;
+    if (!fits && !encoded.progress.empty()) break;
+    encoded.progress.push_back(std::move(encoded_rows.values));
+    if (!fits) break;
+  }
+  const bool whole = encoded.progress.size() == batch.progress.size() && rows <= max_rows;
+  if (!whole) m_scheduler.OnCommitFailed(batch.SplitOff(encoded.progress.size()));
+  encoded.batch = std::move(batch);
+  return encoded;
+}
+
+Transaction StateCommitter::MakeTransaction(const EncodedBatch& encoded,
                                             const Release* release) const {
+  const CommitBatch& batch = encoded.batch;
   const RowKey owner = OwnerKey(m_pool);
   std::optional<std::vector<InstanceId>> ordered_instances{std::in_place};
   if (m_directory) ordered_instances = m_directory->OrderedInstances();
@@ -67,9 +102,19 @@
           {.key = HandoverKey(m_pool, static_cast<int>(i)), .value = release->handover[i]});
     }
   }
-  for (const auto& [job, progress] : batch.progress) {
-    transaction.puts.push_back(
-        {.key = ProgressKey(m_pool, job), .value = EncodeProgress(progress)});
+  for (size_t i = 0; i < batch.progress.size(); ++i) {
+    const JobId& job = batch.progress[i].first;
+    const std::vector<std::string>& values = encoded.progress[i];
+    transaction.puts.push_back({.key = ProgressKey(m_pool, job), .value = values.front()});
+    const size_t rows = RowsOf(job, values);
+    for (size_t part = 1; part < rows; ++part) {
+      const RowKey key = ProgressPartKey(m_pool, job, part);
+      if (part < values.size()) {
+        transaction.puts.push_back({.key = key, .value = values[part]});
+      } else {
+        transaction.removals.push_back(key);
+      }
+    }
   }
   for (const auto& link : batch.links) {
     transaction.puts.push_back({.key = LinkKey(m_pool, link.executor), .value = EncodeLink(link)});
@@ -122,7 +167,66 @@
   m_run_times_stored_at = now;
 }
 
-QCoro::Task<Ret> StateCommitter::CommitOnce(const CommitBatch& batch, const Release* release,
+void StateCommitter::OnWritten(const EncodedBatch& batch) {
+  for (size_t i = 0; i < batch.progress.size(); ++i) {
+    const JobId& job = batch.batch.progress[i].first;
+    const size_t further_rows = batch.progress[i].size() - 1;
+    if (further_rows > 0) {
+      m_further_rows[job] = further_rows;
+    } else {
+      m_further_rows.erase(job);
+    }
+  }
+}
+
+void StateCommitter::LeaveOut(CommitBatch batch, std::string_view error) {
+  std::string row = "run times";
+  if (!batch.progress.empty()) row = "progress of " + batch.progress.front().first.str();
+  if (!batch.links.empty()) row = "link to " + batch.links.front().executor.str();
+  if (!batch.queues.empty()) row = "summary of " + batch.queues.front().queue.str();
+  Log(LogLevel::kError, "row_rejected", {{"pool", m_pool.view()}, {"row", row}, {"error", error}});
+  m_context.metrics
+      .Counter("citronferry_fleet_rejected_rows_total",
+               "Rows of pool owners that the store rejects.", {{"pool", m_pool.str()}})
+      .Increment();
+  if (!batch.run_times.empty()) m_stored_runs = m_scheduler.run_times().learned_runs();
+  // Without its link an executor is not used. The progress of a job must not keep other ends of the
+  // executors that ran it from being acknowledged.
+  batch.links.clear();
+  batch.progress.clear();
+  m_scheduler.OnCommitted(batch);
+}
+
+QCoro::Task<Ret> StateCommitter::Commit(CommitBatch batch, StopSignal* stop) {
+  const EncodedBatch encoded = Encode(std::move(batch), kMaxBatchRows);
+  const int64_t learned_runs = m_scheduler.run_times().learned_runs();
+  const Ret ret = co_await CommitOnce(encoded, nullptr, stop);
+  if (ret.ok()) {
+    m_scheduler.OnCommitted(encoded.batch);
+    OnRunTimesStored(encoded.batch, learned_runs);
+    co_return ret;
+  }
+  const size_t rows = encoded.batch.size() + (encoded.batch.run_times.empty() ? 0 : 1);
+  if (ret.code() != ErrorCode::kInvalidArgument || rows == 0) {
+    m_scheduler.OnCommitFailed(encoded.batch);
+    co_return ret;
+  }
+  if (rows == 1) {
+    LeaveOut(encoded.batch, ret.message());
+    co_return MakeOk();
+  }
+  CommitBatch first = encoded.batch;
+  CommitBatch rest = first.SplitOff(rows / 2);
+  const Ret committed = co_await Commit(std::move(first), stop);
+  if (!committed.ok()) {
+    m_scheduler.OnCommitFailed(rest);
+    co_return committed;
+  }
+  const Ret rest_committed = co_await Commit(std::move(rest), stop);
+  co_return rest_committed;
+}
+
+QCoro::Task<Ret> StateCommitter::CommitOnce(const EncodedBatch& batch, const Release* release,
                                             StopSignal* stop) {
   ++m_commit;
   const Transaction transaction = MakeTransaction(batch, release);
@@ -148,7 +252,7 @@
       m_version = result.rows.front().version;
       m_valid_until = std::max(m_valid_until, first_sent_at + kOwnerLease);
     } else if (result.outcome == TransactionOutcome::kInvalid) {
-      co_return Ret(ErrorCode::kInternal, "the store rejects the commit: " + result.error);
+      co_return Ret(ErrorCode::kInvalidArgument, "the store rejects the commit: " + result.error);
     } else {
       if (!std::exchange(retried, true)) {
         Log(LogLevel::kWarning, "commit_retried",
@@ -160,6 +264,7 @@
     }
     if (retried)
       Log(LogLevel::kInfo, "commit_recovered", {{"pool", m_pool.view()}, {"commit", m_commit}});
+    OnWritten(batch);
     m_context.store_answered_at = m_context.timers.Now();
     m_context.metrics
         .LatencyHistogram("citronferry_fleet_commit_seconds",
@@ -199,14 +304,8 @@
   while (!stop.requested()) {
     CommitBatch batch = m_scheduler.TakeCommit(kMaxBatchRows);
     AddRunTimes(batch, false);
-    const int64_t learned_runs = m_scheduler.run_times().learned_runs();
-    const Ret ret = co_await CommitOnce(batch, nullptr, &stop);
-    if (!ret.ok()) {
-      m_scheduler.OnCommitFailed(batch);
-      co_return stop.requested() ? MakeOk() : ret;
-    }
-    m_scheduler.OnCommitted(batch);
-    OnRunTimesStored(batch, learned_runs);
+    const Ret ret = co_await Commit(std::move(batch), &stop);
+    if (!ret.ok()) co_return stop.requested() ? MakeOk() : ret;
     ResumeAwaited(true);
     m_on_committed();
     co_await SleepFor(m_context.timers, kCommitGap, &stop);
@@ -222,20 +321,29 @@
     EntryId successor, std::function<std::vector<std::string>()> handover) {
   const TimePoint deadline = m_context.timers.Now() + kReleaseTimeout;
   while (m_context.timers.Now() < deadline) {
-    CommitBatch batch = m_scheduler.TakeCommit(kMaxLastBatchRows);
-    const bool last = !m_scheduler.has_dirty();
-    Release release{.successor = successor};
-    if (last) {
-      release.handover = handover();
-      AddRunTimes(batch, true);
-    }
-    const int64_t learned_runs = m_scheduler.run_times().learned_runs();
     StopSignal stopped;
     stopped.Request();
-    const Release* written = last ? &release : nullptr;
-    const Ret ret = co_await CommitOnce(batch, written, &stopped);
-    if (ret.ok()) OnRunTimesStored(batch, learned_runs);
-    if (!ret.ok() || last) co_return;
+    EncodedBatch encoded = Encode(m_scheduler.TakeCommit(kMaxLastBatchRows), kMaxLastBatchRows);
+    if (m_scheduler.has_dirty()) {
+      const Ret ret = co_await Commit(std::move(encoded.batch), &stopped);
+      if (!ret.ok()) co_return;
+      continue;
+    }
+    AddRunTimes(encoded.batch, true);
+    Release release{.successor = successor};
+    release.handover = handover();
+    const int64_t learned_runs = m_scheduler.run_times().learned_runs();
+    Ret ret = co_await CommitOnce(encoded, &release, &stopped);
+    if (ret.ok()) OnRunTimesStored(encoded.batch, learned_runs);
+    if (ret.code() == ErrorCode::kInvalidArgument) {
+      // The successor finds what is left out as after the loss of an owner.
+      Log(LogLevel::kError, "release_rejected",
+          {{"pool", m_pool.view()}, {"error", ret.message()}});
+      const EncodedBatch nothing;
+      release.handover.clear();
+      ret = co_await CommitOnce(nothing, &release, &stopped);
+    }
+    co_return;
   }
 }
 
--- a/src/fleet/pool/internal/state_committer.h
+++ b/src/fleet/pool/internal/state_committer.h
@@ -2,6 +2,7 @@
 #define CITRONFERRY_FLEET_POOL_INTERNAL_STATE_COMMITTER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +39,8 @@
     m_stored_runs = m_scheduler.run_times().learned_runs();
     Wake();
   }
+  /// @param rows number of further rows with the progress of jobs that earlier owners wrote.
+  void SetFurtherRows(std::map<JobId, size_t> rows) { m_further_rows = std::move(rows); }
   /// Notifies the committer of dirty state.
   void Wake() { m_wake.Push(0); }
   /// Waits for the next commit that begins after this call.
@@ -57,6 +60,12 @@
   int64_t newest_version() const { return m_version; }
 
  private:
+  /// A batch with the rows of its progress.
+  struct EncodedBatch {
+    scheduling::CommitBatch batch;
+    std::vector<std::vector<std::string>> progress;  ///< Values of the rows of each job.
+  };
+
   /// What the last commit of an owner writes besides the state of the pool.
   struct Release {
     EntryId successor;
@@ -73,18 +82,35 @@
   QCoro::Task<Ret> CommitUntilStopped(StopSignal& stop);
   /// Ends the calls of CommitAgain that wait for the current commit or an earlier one.
   void ResumeAwaited(bool durable);
+  /// Commits a batch. If the store rejects it, its rows are committed apart, and what the store
+  /// takes in no transaction is left out.
+  /// @param stop ends the repetitions.
+  /// @return success, or why the ownership was lost.
+  QCoro::Task<Ret> Commit(scheduling::CommitBatch batch, StopSignal* stop);
   /// Commits a batch, repeating the transaction while its outcome is unknown.
   /// @param release clears the holder in the owner row; nullptr to stay the owner.
   /// @param stop ends the repetitions.
-  /// @return success, or why the ownership was lost.
-  QCoro::Task<Ret> CommitOnce(const scheduling::CommitBatch& batch, const Release* release,
-                              StopSignal* stop);
+  /// @return success, kInvalidArgument if the store rejects the transaction for good, or why the
+  ///   ownership was lost.
+  QCoro::Task<Ret> CommitOnce(const EncodedBatch& batch, const Release* release, StopSignal* stop);
+  /// Encodes a batch. What does not fit into a transaction is returned to the scheduler.
+  /// @param max_rows for the whole batch.
+  EncodedBatch Encode(scheduling::CommitBatch batch, size_t max_rows);
+  /// @return the number of rows that the progress of a job takes in a transaction: those with
+  /// values
+  ///   and those of earlier commits that are removed.
+  size_t RowsOf(const JobId& job, const std::vector<std::string>& values) const;
+  /// Records that the rows of a batch are durable.
+  void OnWritten(const EncodedBatch& batch);
+  /// Leaves out the only row of a batch, which the store rejects.
+  /// @param error for the log.
+  void LeaveOut(scheduling::CommitBatch batch, std::string_view error);
   /// Adds the learned run times to a batch, if they have changed and kRunTimesInterval has passed
   /// or the batch is the last one of the owner.
   void AddRunTimes(scheduling::CommitBatch& batch, bool last) const;
   /// Records that the run times of a batch are durable.
   void OnRunTimesStored(const scheduling::CommitBatch& batch, int64_t learned_runs);
-  Transaction MakeTransaction(const scheduling::CommitBatch& batch, const Release* release) const;
+  Transaction MakeTransaction(const EncodedBatch& encoded, const Release* release) const;
 
   FleetContext& m_context;
   PoolName m_pool;
@@ -95,6 +121,7 @@
   int64_t m_commit = 0;  // Number of the current commit, counted from the takeover.
   TimePoint m_valid_until;
   bool m_loaded = false;
+  std::map<JobId, size_t> m_further_rows;  // In the store, of jobs with progress in several rows.
   int64_t m_stored_runs = 0;  // Number of learned runs in the stored rows of run times.
   std::optional<TimePoint> m_run_times_stored_at;
   std::vector<std::shared_ptr<AwaitedCommit>> m_awaited;
--- a/src/fleet/tables.h
+++ b/src/fleet/tables.h
@@ -126,8 +126,11 @@
 RetVal<EntryRecord> DecodeEntry(const EntryId& entry, std::string_view text);
 std::string EncodeJob(const scheduling::JobDefinition& job);
 RetVal<scheduling::JobDefinition> DecodeJob(const JobId& id, std::string_view text);
-std::string EncodeProgress(const scheduling::JobProgress& progress);
-RetVal<scheduling::JobProgress> DecodeProgress(std::string_view text);
+/// @param further_rows number of rows with the rest of the progress; see progress_rows.h.
+std::string EncodeProgress(const scheduling::JobProgress& progress, size_t further_rows = 0);
+/// @param further_rows set to the number of rows with the rest of the progress; optional.
+RetVal<scheduling::JobProgress> DecodeProgress(std::string_view text,
+                                               size_t* further_rows = nullptr);
 std::string EncodeLink(const scheduling::LinkRecord& link);
 RetVal<scheduling::LinkRecord> DecodeLink(const scheduling::ExecutorId& id, std::string_view text);
 std::string EncodeQueue(const scheduling::QueueSummary& queue);
--- a/src/fleet/testing/fake_row_store.h
+++ b/src/fleet/testing/fake_row_store.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -72,6 +73,16 @@
     if (entries > kMaxTransactionEntries) {
       return {.outcome = TransactionOutcome::kInvalid, .error = "too many entries"};
     }
+    size_t bytes = 0;
+    for (const auto& put : transaction.puts) {
+      bytes += EncodedSize(put.value);
+      if (put.value.size() > kRowBytes || put.key.key == rejected_key) {
+        return {.outcome = TransactionOutcome::kInvalid, .error = "row " + put.key.key};
+      }
+    }
+    if (bytes > kTransactionBytes) {
+      return {.outcome = TransactionOutcome::kInvalid, .error = "too many bytes"};
+    }
     std::set<std::string> partitions;
     for (const auto& condition : transaction.conditions) partitions.insert(condition.key.partition);
     for (const auto& put : transaction.puts) partitions.insert(put.key.partition);
@@ -99,15 +110,20 @@
   const Row& At(const RowKey& key) const { return m_rows.at(key); }
 
   static constexpr Duration kResponseTime = 4ms;
+  static constexpr size_t kRowBytes = 65'536;             ///< Largest value of a row.
+  static constexpr size_t kTransactionBytes = 1'000'000;  ///< Largest transaction, encoded.
   TimerService* timers = nullptr;  ///< If set, transactions take kResponseTime.
   Duration read_time{};            ///< Duration of reads, if timers is set.
   bool unavailable = false;        ///< All calls fail.
+  std::string rejected_key;        ///< Transactions that write a row with this key are rejected.
   bool history_lost = false;       ///< Follow fails, as if the history were gone.
   std::deque<Fault> faults;        ///< Of the next transactions, one each.
   int transactions = 0;            ///< Number of calls of Transact.
   size_t largest_transaction = 0;  ///< Most entries in a transaction that was given to Apply.
 
  private:
+  static size_t EncodedSize(std::string_view value) { return (value.size() + 2) / 3 * 4; }
+
   Fault NextFault() {
     if (faults.empty()) return Fault::kNone;
     const Fault fault = faults.front();
--- a/src/fleet/tests/ownership_test.cc
+++ b/src/fleet/tests/ownership_test.cc
@@ -267,6 +267,101 @@
       });
 }
 
+/// Commits of progress that is larger than the store takes in a row or a transaction.
+class LargeProgressTest : public LoadedStateTest {
+ protected:
+  static constexpr int kTasks = 3000;
+
+  /// Adds a job with many tasks.
+  /// @param attempts number of failed runs of each task.
+  void AddLargeJob(std::string_view id, int attempts) {
+    scheduling::JobDefinition job = Job(id);
+    job.steps.front().replicas = kTasks;
+    job.accepted_policy.max_attempts = attempts + 2;
+    Store(job);
+    scheduling::JobProgress progress{.state = scheduling::JobState::kRunning};
+    for (int i = 0; i < kTasks * attempts; ++i) {
+      progress.failed_runs.push_back({.index = i / attempts, .run = (m_epoch << 20) + i});
+    }
+    m_scheduler.AddJob(std::make_shared<scheduling::JobDefinition>(job), &progress, m_timers->Now(),
+                       true);
+  }
+
+  /// Reports that a run of the first task of each job has failed, which changes their progress.
+  void FailARun(const std::vector<std::string>& jobs) {
+    const scheduling::ExecutorId id("x");
+    m_scheduler.ListExecutor({.id = id, .incarnation_unix_ms = 1}, m_timers->Now());
+    scheduling::ExecutorReport report{.incarnation_unix_ms = 1};
+    for (const std::string& job : jobs) {
+      report.ended.push_back({.number = ++m_last_end,
+                              .task = {.job = JobId(job)},
+                              .run = (m_epoch << 20) + 1'000'000 + m_last_end,
+                              .end = scheduling::RunEnd::kFailed});
+    }
+    m_scheduler.OnReport(id, report, 0, m_timers->Now(), m_timers->Now());
+  }
+
+  int64_t m_last_end = 0;
+};
+
+// Guards against a pool that loses one owner after the other (TWICE, review/7): the progress of a
+// job with 3,000 tasks that fail is larger than a row of the store, and each owner's commits were
+// rejected.
+TEST_F(LargeProgressTest, ProgressLargerThanARowIsStored) {
+  AddLargeJob("a", 3);
+  FailARun({"a"});
+  StateCommitter log(m_context, m_pool, m_epoch, m_timers->Now(), m_scheduler, [] {});
+  EXPECT_TRUE(RunUntil(log, [&] { return !m_scheduler.has_dirty(); }).ok());
+  EXPECT_EQ(m_scheduler.FindExecutor(scheduling::ExecutorId("x"))->durable_end, 1);
+  const auto holds = [](const scheduling::PoolScheduler& scheduler) {
+    return scheduler.HoldsJob(JobId("a"));
+  };
+  const std::vector<scheduling::JobProgress::FailedRun> expected =
+      m_scheduler.FindJob(JobId("a"))->Progress().failed_runs;
+  ASSERT_EQ(expected.size(), kTasks * 3u + 1);
+  m_epoch = log.newest_version();
+  RunOwner(holds, [&](const scheduling::PoolScheduler& scheduler) {
+    const auto read = scheduler.FindJob(JobId("a"))->Progress().failed_runs;
+    ASSERT_EQ(read.size(), expected.size());
+    for (size_t i = 0; i < read.size(); ++i) EXPECT_EQ(read[i].run, expected[i].run);
+  });
+}
+
+// Guards against commits that the store rejects because the rows of several jobs, each of which
+// fits, are too large together.
+TEST_F(LargeProgressTest, CommitsStayWithinTheStoresBytes) {
+  std::vector<std::string> jobs;
+  for (int i = 0; i < 40; ++i) {
+    jobs.push_back("job" + std::to_string(i));
+    AddLargeJob(jobs.back(), 1);
+  }
+  FailARun(jobs);
+  StateCommitter log(m_context, m_pool, m_epoch, m_timers->Now(), m_scheduler, [] {});
+  EXPECT_TRUE(RunUntil(log, [&] { return !m_scheduler.has_dirty(); }).ok());
+  EXPECT_EQ(m_scheduler.FindExecutor(scheduling::ExecutorId("x"))->durable_end, 40);
+  for (const std::string& job : jobs) EXPECT_TRUE(m_rows.Has(ProgressKey(m_pool, JobId(job))));
+}
+
+// Guards against a row that the store never accepts and that costs the pool its owners: it must
+// cost its job alone.
+TEST_F(LargeProgressTest, RejectedRowCostsNoOther) {
+  std::vector<std::string> jobs;
+  for (int i = 0; i < 60; ++i) {
+    jobs.push_back("job" + std::to_string(i));
+    Store(Job(jobs.back()));
+    m_scheduler.AddJob(std::make_shared<scheduling::JobDefinition>(Job(jobs.back())), nullptr,
+                       m_timers->Now(), false);
+  }
+  m_rows.rejected_key = "job17";
+  FailARun(jobs);
+  StateCommitter log(m_context, m_pool, m_epoch, m_timers->Now(), m_scheduler, [] {});
+  EXPECT_TRUE(RunUntil(log, [&] { return !m_scheduler.has_dirty(); }).ok());
+  EXPECT_EQ(m_scheduler.FindExecutor(scheduling::ExecutorId("x"))->durable_end, 60);
+  for (const std::string& job : jobs) {
+    EXPECT_EQ(m_rows.Has(ProgressKey(m_pool, JobId(job))), job != "job17") << job;
+  }
+}
+
 // Guards against a job of which all tasks run again (TWICE) because its progress cannot be decoded
 // and it is taken for a job without any.
 TEST_F(LoadedStateTest, JobWithUnreadableProgressIsNotStarted) {
