Refuse a submission that is too large alone

Cause: up to 33 submissions share a transaction, bounded by its entries only, and a rejected transaction was an answer for all of them. The comment that its bytes stay within the limit held for the payloads alone.

If the store rejects one, its halves are written apart, and a job that is rejected alone is answered with 413, since it will not be accepted later. A submission with an earlier attempt of unknown outcome is still answered with 504.

--- a/src/fleet/entry/internal/job_repository.cc
+++ b/src/fleet/entry/internal/job_repository.cc
@@ -10,8 +10,7 @@
 namespace citronferry::fleet {
 namespace {
 
-// Each job takes a condition and two puts. Even with the largest payloads a batch stays below the
-// store's limit of one megabyte for a transaction.
+// Each job takes a condition and two puts.
 constexpr size_t kMaxBatch = kMaxTransactionEntries / 3;
 // Two attempts fit into the three seconds that clients usually wait.
 constexpr Duration kWriteTimeout = 1100ms;
@@ -48,8 +47,11 @@
   SubmissionQueue& queue = m_submission_queues[partition];
   while (!queue.waiting.empty()) {
     Submissions batch;
+    size_t bytes = 0;
     while (!queue.waiting.empty() && batch.size() < kMaxBatch) {
       const auto& next = queue.waiting.front();
+      bytes += BytesOf(*next);
+      if (!batch.empty() && bytes > kMaxTransactionBytes) break;
       // A transaction cannot contain a job twice: its condition says that the job does not exist.
       const bool twice = std::any_of(batch.begin(), batch.end(), [&](const auto& other) {
         return other->pool_key == next->pool_key;
@@ -63,6 +65,12 @@
   queue.flushing = false;
 }
 
+size_t JobRepository::BytesOf(const Submission& submission) {
+  // The condition has the key of the row with the pool, as its put does.
+  return EncodedBytes({.key = submission.key, .value = submission.value}) +
+         2 * EncodedBytes({.key = submission.pool_key, .value = submission.pool.str()});
+}
+
 void JobRepository::AcceptExisting(std::span<const Row> rows, Submissions& batch) {
   std::erase_if(batch, [&](const std::shared_ptr<Submission>& submission) {
     const bool present = std::any_of(rows.begin(), rows.end(), [&](const Row& row) {
@@ -120,13 +128,22 @@
         Log(LogLevel::kWarning, "submissions_uncertain",
             {{"count", batch.size()}, {"error", result.error}});
         break;
-      case TransactionOutcome::kInvalid:
-        for (const auto& submission : batch) {
-          submission->outcome.Set(OutcomeOfFailure(*submission));
-        }
+      case TransactionOutcome::kInvalid: {
         Log(LogLevel::kError, "submissions_invalid",
             {{"count", batch.size()}, {"error", result.error}});
+        if (batch.size() == 1) {
+          batch.front()->outcome.Set(batch.front()->uncertain ? CallOutcome::kUnknownOutcome
+                                                              : CallOutcome::kTooLarge);
+          co_return;
+        }
+        // One of them may be why the store rejects them all.
+        const auto middle = batch.begin() + static_cast<std::ptrdiff_t>(batch.size() / 2);
+        Submissions second(middle, batch.end());
+        batch.erase(middle, batch.end());
+        co_await Write(std::move(batch));
+        co_await Write(std::move(second));
         co_return;
+      }
     }
     ExpireOverdue(m_context.timers.Now(), batch);
     if (!batch.empty()) co_await SleepFor(m_context.timers, backoff.Next());
--- a/src/fleet/entry/job_repository.h
+++ b/src/fleet/entry/job_repository.h
@@ -91,6 +91,8 @@
   QCoro::Task<void> Write(Submissions batch);
   /// Accepts the submissions whose jobs are in the store already, and removes them from the batch.
   static void AcceptExisting(std::span<const Row> rows, Submissions& batch);
+  /// @return an upper bound of the bytes that a submission takes in a transaction.
+  static size_t BytesOf(const Submission& submission);
   /// @return the outcome of a submission whose last attempt stored nothing.
   static CallOutcome OutcomeOfFailure(const Submission& submission);
   /// Sets the outcome of submissions that are past their deadlines, and removes them from the
--- a/src/fleet/interfaces/client_protocol.h
+++ b/src/fleet/interfaces/client_protocol.h
@@ -61,6 +61,7 @@
   kCancelled,
   kNoSuchJob,
   kOtherTeam,       ///< The job belongs to another team.
+  kTooLarge,        ///< The store does not take the job; it was not accepted.
   kNotAccepted,     ///< Had no effect and will have none; the client may try again.
   kUnknownOutcome,  ///< May have taken effect; the call is idempotent, so the client may repeat it.
 };
--- a/src/fleet/tests/job_repository_test.cc
+++ b/src/fleet/tests/job_repository_test.cc
@@ -143,6 +143,27 @@
   EXPECT_LT(m_rows.transactions, kJobs / 10) << "submissions that wait go together";
 }
 
+// Guards against jobs that are refused together with one that is too large for a row, or because
+// they are too large together for a transaction (found with review/7).
+TEST_F(JobRepositoryTest, LargeSubmissionsCostNoOther) {
+  constexpr int kJobs = 60;
+  m_rows.timers = m_timers.get();
+  std::map<std::string, CallOutcome> outcomes;
+  TaskScope scope;
+  for (int i = 0; i < kJobs; ++i) {
+    scope.Spawn([this, i, &outcomes]() -> QCoro::Task<void> {
+      scheduling::JobDefinition job = Job("job" + std::to_string(i));
+      job.payload.assign(i == 17 ? 70'000 : 40'000, 'x');
+      outcomes[job.id.str()] = co_await m_jobs.Submit(m_pool, job, m_timers->Now() + 3s);
+    });
+  }
+  ASSERT_TRUE(ProcessEventsUntil([&] { return scope.running() == 0; }));
+  for (const auto& [id, outcome] : outcomes) {
+    EXPECT_EQ(outcome == CallOutcome::kAccepted, id != "job17") << id;
+  }
+  EXPECT_FALSE(m_rows.Has(JobKey(m_pool, JobId("job17"))));
+}
+
 // A job that exists already fails the condition of the whole transaction. The other jobs of its
 // batch must still be written.
 TEST_F(JobRepositoryTest, ExistingJobDoesNotBlockItsBatch) {
--- a/src/platform/internal/client_protocol.cc
+++ b/src/platform/internal/client_protocol.cc
@@ -161,6 +161,8 @@
       return http::MakeErrorResponse(410, "no_such_job", "no such job");
     case CallOutcome::kOtherTeam:
       return EncodeError({CallError::Kind::kOtherTeam, "the job belongs to another team"});
+    case CallOutcome::kTooLarge:
+      return http::MakeErrorResponse(413, "too_large", "the job is too large to be stored");
     case CallOutcome::kUnknownOutcome:
       return http::MakeErrorResponse(504, "unknown_outcome", "the call may have taken effect");
     case CallOutcome::kNotAccepted:
