Keep the order of rank among steps of different size in a busy pool

Steps without room count for all sizes again while at least half of the cores of the listed executors are in use.

--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -13,7 +13,7 @@
 // store's recovery.
 constexpr Duration kUnlistedGracePeriod = 5s;
 // Number of steps without room, in rank order, after which none of the same size or larger is
-// tried.
+// tried, and in a busy pool none at all.
 constexpr size_t kMaxStepsWithoutRoom = 40;
 // Bounds the work of a planning round by the steps that are kept from executors with room.
 constexpr int kMaxConstrainedSteps = 400;
@@ -34,11 +34,13 @@
 }  // namespace
 
 /// Steps of a planning round that could not be placed. What fits nowhere shows that steps of the
-/// same size and larger ones with the same label do not fit either, and nothing about others.
+/// same size and larger ones with the same label do not fit either, and nothing about others. In a
+/// busy pool, smaller steps of lower rank do not get the room that becomes free for those before.
 class PoolScheduler::UnplacedSteps {
  public:
   /// @param pass the current pass over the constrained steps.
-  explicit UnplacedSteps(int64_t pass) : m_pass(pass) {}
+  /// @param busy whether half of the pool's capacity is in use.
+  UnplacedSteps(int64_t pass, bool busy) : m_pass(pass), m_busy(busy) {}
 
   /// @return whether a step is not tried in this round, since it would not find room either, or
   ///   since others like it have to be tried first.
@@ -54,7 +56,7 @@
     const Resources request = CountedRequest(spec);
     size_t smaller = 0;
     for (const auto& [size, count] : found->second) {
-      if (Fits(size, request)) smaller += count;
+      if (m_busy || Fits(size, request)) smaller += count;
     }
     return smaller >= kMaxStepsWithoutRoom;
   }
@@ -89,6 +91,7 @@
 
  private:
   int64_t m_pass;
+  bool m_busy;
   std::map<std::string_view, std::vector<std::pair<Resources, size_t>>>
       m_without_room;  // By label.
   int m_constrained = 0;
@@ -497,6 +500,17 @@
                    [](const PlanningJob& a, const PlanningJob& b) { return a.rank < b.rank; });
 }
 
+bool PoolScheduler::IsBusy() const {
+  int64_t used = 0;
+  int64_t capacity = 0;
+  for (const auto& [id, executor] : m_executors) {
+    if (!executor.listed) continue;
+    used += executor.used.cpu_millicores;
+    capacity += executor.info.capacity.cpu_millicores;
+  }
+  return used * 2 >= capacity;
+}
+
 Orders PoolScheduler::Plan(TimePoint now, const StartCost* cost) {
   m_plan_needed = false;
   m_cost = cost;
@@ -505,7 +519,7 @@
   m_waiting_long_running.clear();
   std::vector<Candidate> candidates = MakeCandidates(now);
   Placer placer(candidates, now);
-  UnplacedSteps unplaced(m_constrained_pass);
+  UnplacedSteps unplaced(m_constrained_pass, IsBusy());
   if (m_team_quotas.has_limits()) m_team_quotas.BeginRound(UnresolvedCapacity());
   if (m_team_shares.active()) {
     Resources capacity;
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -375,6 +375,8 @@
   /// @return until when a copy of a task may be ordered beside its runs; nothing if the reports on
   ///   them are too old, so that one of them may have ended long ago.
   std::optional<TimePoint> CopyDeadline(const Task& task, TimePoint now) const;
+  /// @return whether at least half of the cores of the listed executors are in use.
+  bool IsBusy() const;
   /// @return whether a previous owner may have started tasks that this owner does not know of yet.
   bool TakeoverUnresolved() const;
   /// @return the capacity of inherited executors on which unknown runs may exist.
