--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -101,9 +101,8 @@
   int long_running_tasks() const;
   /// @return whether new tasks may be placed.
   bool Usable(TimePoint now) const;
-  /// @return whether it is known to run nothing, and the effects of all that has run are durable,
-  /// so
-  ///   that nothing is lost with it.
+  /// @return whether it runs nothing and the effects of all that has run are durable, so that
+  ///   nothing is lost with it.
   bool IsEmpty() const { return reported && runs.empty() && durable_end >= applied_end; }
 
  private:
--- a/src/decisions/scheduling/internal/drains.cc
+++ b/src/decisions/scheduling/internal/drains.cc
@@ -51,11 +51,8 @@
 bool PoolScheduler::IsRoomFor(const ExecutorState& executor, const Job& job,
                               const TaskId& id) const {
   const StepSpec& spec = job.spec(id.step);
-  const std::vector<std::string>& labels = executor.info.labels;
-  const bool labelled =
-      spec.required_label.empty() ||
-      std::find(labels.begin(), labels.end(), spec.required_label) != labels.end();
-  return labelled && Fits(CountedRequest(spec), executor.info.capacity - LongRunningUse(executor));
+  return HasRequiredLabel(executor.info, spec) &&
+         Fits(CountedRequest(spec), executor.info.capacity - LongRunningUse(executor));
 }
 
 DrainPlan PoolScheduler::PlanDrain(const ExecutorId& id, TimePoint now) {
--- a/src/decisions/scheduling/internal/placement.cc
+++ b/src/decisions/scheduling/internal/placement.cc
@@ -19,6 +19,12 @@
   return request;
 }
 
+bool HasRequiredLabel(const ExecutorDescription& executor, const StepSpec& spec) {
+  const std::vector<std::string>& labels = executor.labels;
+  return spec.required_label.empty() ||
+         std::find(labels.begin(), labels.end(), spec.required_label) != labels.end();
+}
+
 int Placer::CountOnExecutor(const Step& step, const ExecutorId& executor) {
   int count = 0;
   for (const Task& task : step.tasks) {
@@ -39,12 +45,6 @@
   return used > capacity / candidate.slowness;
 }
 
-bool Placer::HasRequiredLabel(const Candidate& candidate, const StepSpec& spec) {
-  const std::vector<std::string>& labels = candidate.executor->info.labels;
-  return spec.required_label.empty() ||
-         std::find(labels.begin(), labels.end(), spec.required_label) != labels.end();
-}
-
 bool Placer::HasRoomFor(const Candidate& candidate, const StepSpec& spec,
                         const Resources& request) {
   if (candidate.reserved && !spec.long_running) return false;
@@ -56,14 +56,14 @@
 bool Placer::HasRoom(const StepSpec& spec) const {
   const Resources request = CountedRequest(spec);
   return std::any_of(m_candidates.begin(), m_candidates.end(), [&](const Candidate& candidate) {
-    return HasRoomFor(candidate, spec, request) && HasRequiredLabel(candidate, spec);
+    return HasRoomFor(candidate, spec, request) && HasRequiredLabel(candidate.executor->info, spec);
   });
 }
 
 bool Placer::Allows(const Candidate& candidate, const StepPlacement& placement) const {
   const StepSpec& spec = placement.spec;
   const ExecutorDescription& info = candidate.executor->info;
-  if (!HasRequiredLabel(candidate, spec)) return false;
+  if (!HasRequiredLabel(info, spec)) return false;
   if (placement.needs_ticket && !placement.step.tickets.contains(info.id)) return false;
   return spec.max_per_executor <= 0 ||
          CountOnExecutor(placement.step, info.id) < spec.max_per_executor;
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -92,8 +92,8 @@
  private:
   int64_t m_pass;
   bool m_busy;
-  std::map<std::string_view, std::vector<std::pair<Resources, size_t>>>
-      m_without_room;  // By label.
+  // Sizes of steps and their numbers, by label.
+  std::map<std::string_view, std::vector<std::pair<Resources, size_t>>> m_without_room;
   int m_constrained = 0;
   size_t m_waiting_for_link = 0;
   bool m_any_constrained = false;
--- a/src/decisions/scheduling/placement.h
+++ b/src/decisions/scheduling/placement.h
@@ -38,6 +38,9 @@
 /// @return the resources that a task of a step is charged with.
 Resources CountedRequest(const StepSpec& spec);
 
+/// @return whether an executor has the label that a step requires.
+bool HasRequiredLabel(const ExecutorDescription& executor, const StepSpec& spec);
+
 /// Chooses executors for tasks during one planning round.
 class Placer {
  public:
@@ -74,8 +77,6 @@
   ///   the end of its job or the executor has its share of other tasks, which is inversely
   ///   proportional to its slowness.
   static bool IsLastResort(const Candidate& candidate, const StepPlacement& placement);
-  /// @return whether the executor has the label that the step requires.
-  static bool HasRequiredLabel(const Candidate& candidate, const StepSpec& spec);
   /// @return whether a task of the step fits on the executor in this round.
   static bool HasRoomFor(const Candidate& candidate, const StepSpec& spec,
                          const Resources& request);
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -111,8 +111,8 @@
 
 /// What it takes to empty an executor of long-running tasks.
 struct DrainPlan {
-  std::vector<StopOrder>
-      moves;  ///< Of runs in whose place others can be started on other executors.
+  /// Of runs in whose place others can be started on other executors.
+  std::vector<StopOrder> moves;
   /// Of runs for which no other executor has room. Their tasks are away until the executor is back,
   /// so they are stopped last, all at once.
   std::vector<StopOrder> pauses;
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -702,33 +702,38 @@
   EXPECT_TRUE(pool.RunUntilFinal(JobId("other"), 500ms));
 }
 
+constexpr Resources kRoomy{.cpu_millicores = 16000, .memory_mb = 200'000};
+
+/// Hands in jobs of one step, of which an executor may run one task.
+void SubmitSpreadJobs(FakePool& pool, std::string_view prefix, int jobs, const StepSpec& step) {
+  StepSpec spread = step;
+  spread.max_per_executor = 1;
+  for (int i = 0; i < jobs; ++i) {
+    pool.Submit(MakeJob(std::string(prefix) + std::to_string(i), {spread}));
+  }
+}
+
 // Guards against jobs that do not start, although executors are idle, behind others that have a
 // task on each executor and may not have a second one there.
 TEST(PoolSchedulerTest, StepsThatAreSpreadDoNotKeepOthersFromRunning) {
-  constexpr Resources kRoomy{.cpu_millicores = 16000, .memory_mb = 200'000};
   FakePool pool(2, kRoomy);
   pool.Run(100ms);
-  StepSpec spread = MakeStep(3, 5, 20s);
-  spread.max_per_executor = 1;
-  for (int i = 0; i < 1000; ++i) pool.Submit(MakeJob("spread" + std::to_string(i), {spread}));
+  SubmitSpreadJobs(pool, "spread", 1000, MakeStep(3, 5, 20s));
   pool.Run(500ms);
-  spread = MakeStep(2, 1000, 300ms);
-  spread.max_per_executor = 1;
-  pool.Submit(MakeJob("other", {spread}));
-  EXPECT_TRUE(pool.RunUntilFinal(JobId("other"), 500ms));
+  SubmitSpreadJobs(pool, "other", 1, MakeStep(2, 1000, 300ms));
+  EXPECT_TRUE(pool.RunUntilFinal(JobId("other0"), 500ms));
 }
 
 // Guards against steps that are never tried again, since more of them than a planning round tries
-// wait for an executor without another task of their step.
+// wait for an executor without another task of their step. Long-running ones, which are tried in
+// each round and still wait for one more, must not take up their turns.
 TEST(PoolSchedulerTest, AllStepsThatAreSpreadAreTriedInTurn) {
-  constexpr Resources kRoomy{.cpu_millicores = 16000, .memory_mb = 200'000};
   FakePool pool(2, kRoomy);
   pool.Run(100ms);
-  StepSpec spread = MakeStep(3, 5, 20s);
-  spread.max_per_executor = 1;
-  for (int i = 0; i < 1000; ++i) pool.Submit(MakeJob("spread" + std::to_string(i), {spread}));
-  spread.long_running = true;  // These are tried in each round.
-  for (int i = 0; i < 500; ++i) pool.Submit(MakeJob("lasting" + std::to_string(i), {spread}));
+  SubmitSpreadJobs(pool, "spread", 1000, MakeStep(3, 5, 20s));
+  StepSpec lasting = MakeStep(4, 5, 0s);
+  lasting.long_running = true;
+  SubmitSpreadJobs(pool, "lasting", 500, lasting);
   pool.Run(500ms);
   const auto running = [&] {
     size_t count = 0;
--- a/src/fleet/interfaces/row_store.h
+++ b/src/fleet/interfaces/row_store.h
@@ -112,9 +112,8 @@
 };
 
 /// Reads a whole partition of a table, page by page.
-/// @return all rows, with the version and the clock of the first page, so that a feed that
-/// continues
-///   from this version also returns the changes made during the read.
+/// @return all rows, with the clock and the version of the first page. A feed that continues from
+///   this version also returns the changes made during the read.
 QCoro::Task<RetVal<RowRange>> ReadPartition(RowStore& store, std::string table,
                                             std::string partition);
 
--- a/src/fleet/pool/internal/jobs_view.h
+++ b/src/fleet/pool/internal/jobs_view.h
@@ -26,7 +26,7 @@
   /// @return the store's clock at a time up to which all accepted jobs are known; 0 if that is not
   ///   known.
   int64_t clock_ms() const { return m_complete.clock_ms; }
-  /// @return the same time on the clock of this process.
+  /// @return that time or an earlier one, on the clock of this process.
   TimePoint complete_at() const { return m_complete.at; }
 
  private:
--- a/src/fleet/pool/internal/maintenance_coordinator.cc
+++ b/src/fleet/pool/internal/maintenance_coordinator.cc
@@ -189,8 +189,8 @@
   return false;
 }
 
-bool MaintenanceCoordinator::IsBlocked(Operation& operation,
-                                       const scheduling::DrainPlan& plan) const {
+bool MaintenanceCoordinator::UpdateBlocked(Operation& operation,
+                                           const scheduling::DrainPlan& plan) const {
   const TimePoint now = m_context.timers.Now();
   if (plan.feasible) {
     operation.blocked_since.reset();
@@ -278,7 +278,7 @@
   const TimePoint now = m_context.timers.Now();
   scheduling::DrainPlan plan = m_owner.scheduler().PlanDrain(operation.executor, now);
   // An order without a response may still end what runs on the instance.
-  if (IsBlocked(operation, plan) && !m_directory.HasUnansweredOrder(instance)) {
+  if (UpdateBlocked(operation, plan) && !m_directory.HasUnansweredOrder(instance)) {
     m_postponed[instance] = now + kPostponementAfterDrain;
     co_await GiveUp(instance, false);
     co_return;
--- a/src/fleet/pool/internal/maintenance_coordinator.h
+++ b/src/fleet/pool/internal/maintenance_coordinator.h
@@ -65,12 +65,13 @@
   void AddNewWaves();
   /// Chooses instances of a wave and starts draining them.
   void StartDrains(OpenWave& open);
-  /// @return whether an instance has a place for its long-running tasks elsewhere, or may do
-  /// without
-  ///   them; otherwise it is not considered again for some time.
+  /// Postpones the drain of an instance if its long-running tasks have no place elsewhere and may
+  /// not pause.
+  /// @return whether it can be drained now.
   bool CanDrain(int64_t wave, const InstanceId& instance, const scheduling::ExecutorId& executor);
-  /// @return whether a drain has been blocked for too long.
-  bool IsBlocked(Operation& operation, const scheduling::DrainPlan& plan) const;
+  /// Records whether a drain can go on.
+  /// @return whether it has been blocked for too long.
+  bool UpdateBlocked(Operation& operation, const scheduling::DrainPlan& plan) const;
   /// Stops the long-running tasks of an executor, those that pause last.
   QCoro::Task<void> StopLongRunningTasks(InstanceId instance, scheduling::DrainPlan plan);
   /// Acquires the slot of an operation.
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -259,7 +259,7 @@
     m_maintenance->Resume(handover->maintenance);
   }
   m_jobs.StartAt(jobs->version);
-  m_committer->jobs_view().OnLoaded(jobs->clock_ms, now);
+  m_committer->jobs_view().OnLoaded(jobs->clock_ms, m_ownership.acquired_at);
   // A previous owner has removed the definitions of these jobs, but not their progress.
   for (const auto& [id, state] : states) {
     if (!defined.contains(id)) m_scheduler->OnDefinitionsRemoved(std::span(&id, 1));
--- a/src/fleet/pool/internal/state_committer.h
+++ b/src/fleet/pool/internal/state_committer.h
@@ -99,9 +99,8 @@
   /// Encodes a batch. What does not fit into a transaction is returned to the scheduler.
   /// @param max_rows for the whole batch.
   EncodedBatch Encode(scheduling::CommitBatch batch, size_t max_rows);
-  /// @return the number of rows that the progress of a job takes in a transaction: those with
-  /// values
-  ///   and those of earlier commits that are removed.
+  /// @return the number of rows that the progress of a job takes in a transaction, with those of
+  ///   earlier commits that are removed.
   size_t RowsOf(const JobId& job, const std::vector<std::string>& values) const;
   /// Records that the rows of a batch are durable.
   void OnWritten(const EncodedBatch& batch);
