Ask the placement adviser about all executors that a step can use

Cause: each call named the 30 usable executors with the most free cores, and the answers were not kept, so the next call named the same ones. Neither the label, the size, the spread nor the rack of the step counted, a step with one valid ticket asked for no other one even if the executors with tickets were full, and a failed call was handled as a response without tickets.

A call names executors that the step can use and that have not been named, those with room first; a step asks again until it is placed or all have been named, and about those that join, restart or whose ticket expires. The owner chooses the next call when the last one has its response: steps with room before others, in turn. Drains and reservations need an executor that is allowed, not a ticket that is valid now.

--- a/src/decisions/scheduling/executor_state.h
+++ b/src/decisions/scheduling/executor_state.h
@@ -56,6 +56,8 @@
   ExecutorDescription info;
   bool listed = false;        ///< It is in the registry.
   bool link_durable = false;  ///< A successor finds its link; required before the first order.
+  /// Number of its known incarnation; no other one of any executor has it during this ownership.
+  int64_t incarnation_number = 0;
   /// Its known incarnation has sent a complete report to this owner, so all of its runs are known.
   bool reported = false;
   /// A call to a previous incarnation may extend the lease of this one, on the wrong clock, until
--- a/src/decisions/scheduling/internal/drains.cc
+++ b/src/decisions/scheduling/internal/drains.cc
@@ -24,16 +24,16 @@
       : m_candidates(std::move(candidates)), m_placer(m_candidates, now) {}
 
   /// Takes a place for a task in place of its runs.
-  /// @param needs_ticket StepPlacement::needs_ticket of its step.
+  /// @param tickets StepPlacement::tickets of its step.
   /// @return whether there is one.
-  bool Take(const Job& job, const TaskId& id, bool needs_ticket) {
+  bool Take(const Job& job, const TaskId& id, const StepTickets* tickets) {
     const auto known = m_steps.find(KeyOf(id));
     Step& step = known != m_steps.end() ? known->second
                                         : m_steps.emplace(KeyOf(id), StepOf(job, id)).first->second;
     Task& task = step.tasks[static_cast<size_t>(id.index)];
     task.runs.clear();
-    const ExecutorState* executor = m_placer.TakeWhenDrained(
-        {.spec = job.spec(id.step), .step = step, .needs_ticket = needs_ticket});
+    const ExecutorState* executor =
+        m_placer.TakeWhenDrained({.spec = job.spec(id.step), .step = step, .tickets = tickets});
     if (executor) task.runs.push_back({.executor = executor->info.id});
     return executor != nullptr;
   }
@@ -66,14 +66,14 @@
     Job* job = FindJobMutable(waiting.job);
     const Task* task = job && !job->is_final() ? job->FindTask(waiting) : nullptr;
     if (!task || !task->runs.empty()) continue;
-    const bool has_place = room.Take(*job, waiting, PolicyOf(*job).needs_advice);
+    const bool has_place = room.Take(*job, waiting, TicketsOf(*job, waiting));
     if (!has_place && IsRoomFor(*executor, *job, waiting)) plan.feasible = false;
   }
   std::map<StepKey, int> paused;  // Number of tasks.
   for (const RunRef& ref : executor->runs) {
     if (!ref.job->spec(ref.task.step).long_running || ref.job->is_final()) continue;
     const Run* run = FindRun(ref.task, ref.run, id);
-    const bool has_place = room.Take(*ref.job, ref.task, PolicyOf(*ref.job).needs_advice);
+    const bool has_place = room.Take(*ref.job, ref.task, TicketsOf(*ref.job, ref.task));
     if (!run || run->phase == RunPhase::kStopping) continue;
     const StopOrder stop{.executor = id, .task = ref.task, .run = ref.run};
     if (has_place) {
--- a/src/decisions/scheduling/internal/job.cc
+++ b/src/decisions/scheduling/internal/job.cc
@@ -108,6 +108,7 @@
 
 void Job::FinishStep(Occurrence& occurrence, int step) {
   --occurrence.open_steps;
+  occurrence.steps[static_cast<size_t>(step)].tickets.Clear();
   for (size_t i = 0; i < occurrence.steps.size(); ++i) {
     const std::vector<int>& after = m_definition->steps[i].after;
     occurrence.steps[i].open_dependencies -=
--- a/src/decisions/scheduling/internal/placement.cc
+++ b/src/decisions/scheduling/internal/placement.cc
@@ -60,13 +60,19 @@
   });
 }
 
-bool Placer::Allows(const Candidate& candidate, const StepPlacement& placement) const {
+bool Placer::Permits(const Candidate& candidate, const StepPlacement& placement) {
   const StepSpec& spec = placement.spec;
-  const ExecutorDescription& info = candidate.executor->info;
-  if (!HasRequiredLabel(info, spec)) return false;
-  if (placement.needs_ticket && !placement.step.tickets.contains(info.id)) return false;
+  const ExecutorState& executor = *candidate.executor;
+  if (!HasRequiredLabel(executor.info, spec)) return false;
+  if (placement.tickets && !placement.tickets->IsAllowed(executor.incarnation_number)) return false;
   return spec.max_per_executor <= 0 ||
-         CountOnExecutor(placement.step, info.id) < spec.max_per_executor;
+         CountOnExecutor(placement.step, executor.info.id) < spec.max_per_executor;
+}
+
+bool Placer::Allows(const Candidate& candidate, const StepPlacement& placement) const {
+  const StepTickets* tickets = placement.tickets;
+  if (tickets && !tickets->Find(candidate.executor->incarnation_number, m_now)) return false;
+  return Permits(candidate, placement);
 }
 
 RackName Placer::RequiredRack(const StepPlacement& placement) const {
@@ -149,13 +155,12 @@
   const std::vector<Candidate> before = m_candidates;
   Step tentative;  // Holds the runs placed so far, for the limit of tasks per executor.
   tentative.tasks.resize(placement.step.tasks.size());
-  tentative.tickets = placement.step.tickets;
   std::vector<ExecutorState*> executors;
   for (Task& task : tentative.tasks) {
     ExecutorState* executor = Place({.spec = placement.spec,
                                      .step = tentative,
                                      .ready_since = placement.ready_since,
-                                     .needs_ticket = placement.needs_ticket,
+                                     .tickets = placement.tickets,
                                      .decides_end = placement.decides_end},
                                     {});
     if (!executor) {
@@ -172,7 +177,7 @@
   const Resources request = CountedRequest(placement.spec);
   const auto found =
       std::find_if(m_candidates.begin(), m_candidates.end(), [&](const Candidate& candidate) {
-        return Fits(request, candidate.free_when_drained) && Allows(candidate, placement);
+        return Fits(request, candidate.free_when_drained) && Permits(candidate, placement);
       });
   if (found == m_candidates.end()) return nullptr;
   found->free_when_drained -= request;
@@ -191,7 +196,7 @@
   Candidate* best = nullptr;
   for (Candidate& candidate : m_candidates) {
     if (!candidate.reserved && !may_add) continue;
-    if (!Allows(candidate, placement) || !Fits(request, candidate.free_when_drained)) continue;
+    if (!Permits(candidate, placement) || !Fits(request, candidate.free_when_drained)) continue;
     if (!best || preference(candidate) > preference(*best)) best = &candidate;
   }
   if (!best) return;
--- a/src/decisions/scheduling/internal/pool_scheduler.cc
+++ b/src/decisions/scheduling/internal/pool_scheduler.cc
@@ -118,7 +118,6 @@
   m_queues.clear();
   for (const QueuePolicy& queue : queues) {
     m_queues[queue.name] = queue;
-    m_advice_used |= queue.needs_advice;
   }
   m_plan_needed = true;
 }
@@ -151,8 +150,19 @@
   return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
+ExecutorState& PoolScheduler::FindOrAddExecutor(const ExecutorId& id) {
+  const auto [entry, added] = m_executors.try_emplace(id);
+  if (added) entry->second.incarnation_number = ++m_last_incarnation_number;
+  return entry->second;
+}
+
+const StepTickets* PoolScheduler::TicketsOf(const Job& job, const TaskId& id) const {
+  if (!PolicyOf(job).needs_advice) return nullptr;
+  return &job.occurrences().at(id.occurrence).steps[static_cast<size_t>(id.step)].tickets;
+}
+
 void PoolScheduler::InheritExecutor(const LinkRecord& link) {
-  ExecutorState& executor = m_executors[link.executor];
+  ExecutorState& executor = FindOrAddExecutor(link.executor);
   executor.info.id = link.executor;
   executor.info.address = link.address;
   executor.info.incarnation_unix_ms = link.incarnation_unix_ms;
@@ -171,7 +181,7 @@
   if (const ExecutorState* known = FindExecutor(info.id);
       known && known->listed && known->info == info)
     return;
-  ExecutorState& executor = m_executors[info.id];
+  ExecutorState& executor = FindOrAddExecutor(info.id);
   executor.listed = true;
   executor.unlisted_since.reset();
   const int64_t known_incarnation = executor.info.incarnation_unix_ms;
@@ -213,7 +223,6 @@
                            const JobProgress* progress, TimePoint accepted_at, bool inherited) {
   const JobId id = definition->id;
   if (m_jobs.contains(id)) return;
-  m_advice_used |= definition->accepted_policy.needs_advice;
   auto job = std::make_unique<Job>(std::move(definition), accepted_at, inherited);
   if (progress) job->Restore(*progress);
   // The rate of a team is not known for the time before the takeover.
@@ -517,6 +526,7 @@
   m_budget.Refill(now);
   m_waiting_cores = 0;
   m_waiting_long_running.clear();
+  m_steps_without_ticket.clear();
   std::vector<Candidate> candidates = MakeCandidates(now);
   Placer placer(candidates, now);
   UnplacedSteps unplaced(m_constrained_pass, IsBusy());
@@ -563,21 +573,22 @@
                               TimePoint now) {
   Step& step = job.occurrences().at(occurrence).steps[static_cast<size_t>(step_index)];
   const StepSpec& spec = job.spec(step_index);
+  const double cores = Cores(spec.request);
+  TaskId id{.job = job.id(), .occurrence = occurrence, .step = step_index};
   if (!step.ready_since) step.ready_since = now;
   const StepPlacement placement{
       .spec = spec,
       .step = step,
       .ready_since = *step.ready_since,
-      .needs_ticket = PolicyOf(job).needs_advice,
+      .tickets = TicketsOf(job, id),
       .decides_end =
           m_durations->any_slow() && DecidesEnd(*job.definition(), job.occurrences().at(occurrence),
                                                 step_index, *m_durations)};
   // Executors reject a start without a valid ticket.
-  if (placement.needs_ticket && (!step.tickets_valid_until || *step.tickets_valid_until <= now)) {
-    return true;
-  }
-  const double cores = Cores(spec.request);
-  TaskId id{.job = job.id(), .occurrence = occurrence, .step = step_index};
+  const bool may_start = !placement.tickets || placement.tickets->HasValid(now);
+  const auto request_tickets = [&, step_id = id] {
+    if (placement.tickets) m_steps_without_ticket.push_back(step_id);
+  };
 
   if (spec.gang_scheduled) {
     const bool free_of_runs = std::all_of(step.tasks.begin(), step.tasks.end(),
@@ -588,8 +599,14 @@
       HoldBack(job, id, whole);
       return true;
     }
-    const auto executors = m_budget.available() ? placer.PlaceGang(placement) : std::nullopt;
+    if (!may_start) {
+      request_tickets();
+      return true;
+    }
+    const bool may_send = m_budget.available();
+    const auto executors = may_send ? placer.PlaceGang(placement) : std::nullopt;
     if (!executors) {
+      if (may_send) request_tickets();
       m_waiting_cores += cores * spec.replicas;
       return false;
     }
@@ -610,9 +627,14 @@
       HoldBack(job, id, spec.request);
       continue;
     }
+    if (!may_start) {
+      request_tickets();
+      return true;
+    }
     const bool may_send = placed_all && m_budget.available();
     ExecutorState* executor = may_send ? placer.Place(placement, task.avoided) : nullptr;
     if (!executor) {
+      if (may_send) request_tickets();
       if (may_send && spec.long_running) placer.Reserve(placement);
       id.index = static_cast<int>(i);
       if (spec.long_running) m_waiting_long_running.push_back(id);
@@ -646,17 +668,15 @@
       job.spec(id.step).gang_scheduled
           ? job.FindTask({.job = id.job, .occurrence = id.occurrence, .step = id.step})->checkpoint
           : task.checkpoint;
-  const Step& step = *FindStep(id);
-  const auto ticket = step.tickets.find(executor.info.id);
-  m_orders.starts.push_back(
-      {.executor = executor.info.id,
-       .task = id,
-       .run = run,
-       .definition = job.definition(),
-       .checkpoint = checkpoint,
-       .ticket = ticket == step.tickets.end() ? std::string() : ticket->second,
-       .send_before = send_before,
-       .incarnation_unix_ms = executor.info.incarnation_unix_ms});
+  const std::string* ticket = FindStep(id)->tickets.Find(executor.incarnation_number, now);
+  m_orders.starts.push_back({.executor = executor.info.id,
+                             .task = id,
+                             .run = run,
+                             .definition = job.definition(),
+                             .checkpoint = checkpoint,
+                             .ticket = ticket ? *ticket : std::string(),
+                             .send_before = send_before,
+                             .incarnation_unix_ms = executor.info.incarnation_unix_ms});
 }
 
 Step* PoolScheduler::FindStep(const TaskId& id) {
--- a/src/decisions/scheduling/internal/runs.cc
+++ b/src/decisions/scheduling/internal/runs.cc
@@ -122,6 +122,7 @@
            std::to_string(incarnation_unix_ms));
   executor.past_incarnations.push_back(executor.info.incarnation_unix_ms);
   executor.info.incarnation_unix_ms = incarnation_unix_ms;
+  executor.incarnation_number = ++m_last_incarnation_number;
   executor.applied_end = executor.durable_end = 0;
   m_durations->run_times().executors().Forget(id.view());
   executor.link_durable = false;
@@ -280,7 +281,7 @@
       executor->health.Quarantine(now);
       break;
     case StartAnswer::kTicketInvalid:
-      if (Step* step = FindStep(order.task)) step->tickets.erase(order.executor);
+      if (Step* step = FindStep(order.task)) step->tickets.Invalidate(executor->incarnation_number);
       break;
     case StartAnswer::kDeadlinePassed:
     case StartAnswer::kNotSent:
--- a/src/decisions/scheduling/internal/stragglers.cc
+++ b/src/decisions/scheduling/internal/stragglers.cc
@@ -73,11 +73,9 @@
     const StepPlacement placement{.spec = job->spec(id.step),
                                   .step = step,
                                   .ready_since = step.ready_since.value_or(now),
-                                  .needs_ticket = PolicyOf(*job).needs_advice,
+                                  .tickets = TicketsOf(*job, id),
                                   .decides_end = true};
-    if (placement.needs_ticket && (!step.tickets_valid_until || *step.tickets_valid_until <= now)) {
-      continue;
-    }
+    if (placement.tickets && !placement.tickets->HasValid(now)) continue;
     if (!m_budget.available()) return;
     if (!m_team_quotas.Allows(job->definition()->team, job->spec(id.step).request)) continue;
     const ExecutorId current = task.runs.front().executor;
--- a/src/decisions/scheduling/job.h
+++ b/src/decisions/scheduling/job.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "decisions/scheduling/step_tickets.h"
 #include "decisions/scheduling/types.h"
 
 namespace citronferry::scheduling {
@@ -62,11 +63,9 @@
 struct Step {
   std::vector<Task> tasks;
   int done_tasks = 0;
-  int open_dependencies = 0;                  ///< Preceding steps that are not done.
-  std::optional<TimePoint> ready_since;       ///< Set by the scheduler at the first planning.
-  std::map<ExecutorId, std::string> tickets;  ///< Issued by the placement adviser, if needed.
-  std::optional<TimePoint> tickets_valid_until;
-  bool tickets_requested = false;  ///< A call to the adviser is in progress.
+  int open_dependencies = 0;             ///< Preceding steps that are not done.
+  std::optional<TimePoint> ready_since;  ///< Set by the scheduler at the first planning.
+  StepTickets tickets;                   ///< Empty if the queue needs no advice.
   /// The pass of the scheduler in which the step could not be placed although executors had room.
   int64_t constrained_in_pass = 0;
 };
--- a/src/decisions/scheduling/placement.h
+++ b/src/decisions/scheduling/placement.h
@@ -31,8 +31,9 @@
   const StepSpec& spec;
   const Step& step;
   TimePoint ready_since{};
-  bool needs_ticket = false;  ///< Only executors with a ticket in step may be used.
-  bool decides_end = false;   ///< The end of the job depends on this step.
+  /// If set, only executors with a valid ticket may be used.
+  const StepTickets* tickets = nullptr;
+  bool decides_end = false;  ///< The end of the job depends on this step.
 };
 
 /// @return the resources that a task of a step is charged with.
@@ -80,6 +81,9 @@
   /// @return whether a task of the step fits on the executor in this round.
   static bool HasRoomFor(const Candidate& candidate, const StepSpec& spec,
                          const Resources& request);
+  /// @return whether a task of the step may run on the executor, whatever room it has.
+  static bool Permits(const Candidate& candidate, const StepPlacement& placement);
+  /// @return whether it may be started there now; the ticket for that may have to be renewed.
   bool Allows(const Candidate& candidate, const StepPlacement& placement) const;
   /// @return the rack to which the tasks are restricted for now, or empty.
   RackName RequiredRack(const StepPlacement& placement) const;
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -21,6 +21,7 @@
 #include "decisions/scheduling/placement.h"
 #include "decisions/scheduling/ranking.h"
 #include "decisions/scheduling/start_budget.h"
+#include "decisions/scheduling/step_tickets.h"
 #include "decisions/scheduling/team_quotas.h"
 #include "decisions/scheduling/team_shares.h"
 #include "decisions/scheduling/types.h"
@@ -105,7 +106,7 @@
 /// A call to the placement adviser for a step.
 struct TicketRequest {
   TaskId step;  ///< Its index is unused.
-  std::vector<ExecutorId> candidates;
+  std::vector<AdviceCandidate> candidates;
   Duration timeout{};
 };
 
@@ -237,13 +238,18 @@
   /// Stops long-running tasks of an executor for which others have room, within their disruption
   /// budgets, so that they start elsewhere.
   void EvictLongRunningTasks(const ExecutorId& id, TimePoint now);
-  /// @return the calls to the placement adviser that are needed now. A step is not returned again
-  ///   before SetTickets.
-  std::vector<TicketRequest> TakeTicketRequests(TimePoint now);
-  /// Stores the adviser's response for a step.
-  /// @param tickets tickets by executor; empty if the call failed.
-  void SetTickets(const TaskId& step, std::map<ExecutorId, std::string> tickets,
+  /// Chooses a step that the last planning could not place for want of tickets, and the executors
+  /// to ask the placement adviser about: those that may have room for its tasks and that the
+  /// adviser has not refused. Each further call names others, until all have been named.
+  /// @return the call to make now, if any. SetTickets or OnAdviceFailed follows.
+  std::optional<TicketRequest> NextTicketRequest(TimePoint now);
+  /// Stores the adviser's response to a call.
+  /// @param tickets by executor; the adviser refuses the other candidates.
+  /// @param valid_until of all tickets.
+  void SetTickets(const TicketRequest& request, const std::map<ExecutorId, std::string>& tickets,
                   TimePoint valid_until, TimePoint now);
+  /// Records that a call to the adviser had no usable response, so that it is made again.
+  void OnAdviceFailed(const TicketRequest& request, TimePoint now);
   /// Records that a pace order was not delivered, so that it is repeated.
   void OnPaceFailed(const PaceOrder& order);
   /// Sets whether new tasks are kept off an executor.
@@ -279,6 +285,7 @@
   struct PlanningJob;
   class UnplacedSteps;
   class LongRunningRoom;
+  struct AdviceOption;
 
   /// @return the task that an executor's report names, or nullptr if it is unknown or its
   ///   occurrence is finished.
@@ -358,6 +365,16 @@
   /// @return whether all waiting tasks of the step were placed, or the step cannot be placed for a
   ///   reason other than capacity.
   bool PlaceStep(Job& job, int occurrence, int step_index, Placer& placer, TimePoint now);
+  /// @return the executors that the adviser may be asked about for a step.
+  std::vector<AdviceOption> FindAdviceOptions(const StepSpec& spec, const Step& step,
+                                              std::span<const Candidate> candidates,
+                                              TimePoint now) const;
+  /// @param options not empty.
+  TicketRequest MakeTicketRequest(const TaskId& id, Step& step,
+                                  std::vector<AdviceOption> options) const;
+  /// @return the tickets that restrict a step's executors, or nullptr if its queue needs no advice.
+  const StepTickets* TicketsOf(const Job& job, const TaskId& id) const;
+  ExecutorState& FindOrAddExecutor(const ExecutorId& id);
   /// @return the policy of the job's queue in the active configuration, otherwise the one under
   ///   which the job was accepted.
   const QueuePolicy& PolicyOf(const Job& job) const;
@@ -399,7 +416,6 @@
 
   SchedulerOptions m_options;
   std::map<QueueName, QueuePolicy> m_queues;
-  bool m_advice_used = false;  // Set once a job or queue needs tickets.
   std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
   std::set<JobId> m_open_jobs;
   std::map<ExecutorId, ExecutorState> m_executors;
@@ -423,6 +439,10 @@
   bool m_plan_needed = true;
   double m_waiting_cores = 0;
   std::vector<TaskId> m_waiting_long_running;  ///< That the last planning could not place.
+  /// Steps that the last planning could not place on executors with a valid ticket, in the order of
+  /// their ranks; indices are unused.
+  std::vector<TaskId> m_steps_without_ticket;
+  int64_t m_last_incarnation_number = 0;
   TeamQuotas m_team_quotas;
   TeamShares m_team_shares;
   TimePoint m_periodic_plan_at{};
--- a/src/decisions/scheduling/tests/pool_scheduler_test.cc
+++ b/src/decisions/scheduling/tests/pool_scheduler_test.cc
@@ -548,11 +548,11 @@
   pool.Submit(MakeJob("a", {MakeStep(2, 1000, 100ms)}));
   pool.Run(100ms);
   EXPECT_TRUE(pool.starts.empty());
-  const auto requests = pool.scheduler().TakeTicketRequests(pool.now());
-  ASSERT_EQ(requests.size(), 1u);
-  EXPECT_EQ(requests[0].candidates.size(), 3u);
-  EXPECT_TRUE(pool.scheduler().TakeTicketRequests(pool.now()).empty()) << "one request at a time";
-  pool.scheduler().SetTickets(requests[0].step, {{ExecutorId("x1"), "ticket"}}, pool.now() + 1s,
+  const auto request = pool.scheduler().NextTicketRequest(pool.now());
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->candidates.size(), 3u);
+  EXPECT_FALSE(pool.scheduler().NextTicketRequest(pool.now())) << "one request at a time";
+  pool.scheduler().SetTickets(*request, {{ExecutorId("x1"), "ticket"}}, pool.now() + 1s,
                               pool.now());
   const Orders orders = pool.scheduler().Plan(pool.now());
   ASSERT_EQ(orders.starts.size(), 2u);
@@ -563,7 +563,7 @@
   // An invalid ticket is not used again.
   pool.scheduler().OnStartAnswer(orders.starts[0], StartAnswer::kTicketInvalid, pool.now());
   EXPECT_TRUE(pool.scheduler().Plan(pool.now()).starts.empty());
-  EXPECT_EQ(pool.scheduler().TakeTicketRequests(pool.now()).size(), 1u);
+  EXPECT_TRUE(pool.scheduler().NextTicketRequest(pool.now()));
 }
 
 // Load pattern: a best-effort task runs beside a user-facing one whose tail latency exceeds its
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -475,19 +475,21 @@
   }
 }
 
-// The adviser handles one call of an entry at a time, so the requests are queued.
+// The adviser handles one call of an entry at a time. The next call is chosen after its response,
+// so that no step waits behind calls that are no longer needed.
 QCoro::Task<void> PoolOwner::AskAdviser() {
   Subscription closing = m_ended.Subscribe([this] { m_ticket_requests.Close(); });
   Backoff backoff(kInitialRetryDelay, kMaxRetryDelay);
   while (auto request = co_await m_ticket_requests.Next()) {
     if (m_ended.requested()) co_return;
+    std::vector<scheduling::ExecutorId> executors;
+    for (const auto& candidate : request->candidates) executors.push_back(candidate.executor);
     const TimePoint asked_at = m_context.timers.Now();
     const auto advice = co_await m_context.platform.adviser.Advise(
-        request->step, request->candidates, request->timeout);
+        request->step, std::move(executors), request->timeout);
     if (m_ended.requested()) co_return;
     std::map<scheduling::ExecutorId, std::string> tickets;
     if (advice.ok()) {
-      backoff.Reset();
       for (const Ticket& ticket : advice->tickets) tickets[ticket.executor] = ticket.value;
     }
     Log(LogLevel::kInfo, "advice",
@@ -495,13 +497,19 @@
          {"request", request->step.job.view()},
          {"step", request->step.step},
          {"candidates", request->candidates.size()},
+         {"first_candidate", request->candidates.front().executor.view()},
          {"tickets", tickets.size()},
          {"error", advice.ret().message()}});
-    if (tickets.empty()) co_await SleepFor(m_context.timers, backoff.Next(), &m_ended);
-    const TimePoint now = m_context.timers.Now();
-    // The validity may have started as early as the call was sent.
-    const TimePoint valid_until = advice.ok() ? asked_at + advice->validity : now;
-    m_scheduler->SetTickets(request->step, std::move(tickets), valid_until, now);
+    if (advice.ok()) {
+      backoff.Reset();
+      // The validity may have started as early as the call was sent.
+      m_scheduler->SetTickets(*request, tickets, asked_at + advice->validity,
+                              m_context.timers.Now());
+    } else {
+      m_scheduler->OnAdviceFailed(*request, m_context.timers.Now());
+      co_await SleepFor(m_context.timers, backoff.Next(), &m_ended);
+    }
+    m_asking_adviser = false;
     ProcessUpdates();
   }
 }
@@ -549,10 +557,13 @@
 
 void PoolOwner::ProcessUpdates() {
   if (m_ended.requested()) return;
-  for (auto& request : m_scheduler->TakeTicketRequests(m_context.timers.Now())) {
-    m_ticket_requests.Push(std::move(request));
-  }
   if (m_scheduler->plan_needed() && may_order()) Plan();
+  if (!m_asking_adviser) {
+    if (auto request = m_scheduler->NextTicketRequest(m_context.timers.Now())) {
+      m_asking_adviser = true;
+      m_ticket_requests.Push(std::move(*request));
+    }
+  }
   LogDecisions();
   if (m_scheduler->has_dirty()) m_committer->Wake();
 }
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -140,7 +140,8 @@
   std::unique_ptr<GrantCoordinator> m_grants;
   std::set<scheduling::ExecutorId> m_listed;
   ChangeFeed<RowChanges> m_jobs;
-  Mailbox<scheduling::TicketRequest> m_ticket_requests;
+  Mailbox<scheduling::TicketRequest> m_ticket_requests;  // Holds one at most.
+  bool m_asking_adviser = false;
   TimePoint m_planned_at{};
   Subscription m_next_plan;
   bool m_plan_waits = false;
