Space the plans of a pool so that they take a fifth of its owner's time

Cause: a plan visits every open job. With a thousand of them it takes 10 ms on half a core, and the next one followed 8 ms after the beginning of the last one, so each event was followed by a plan: 70 to 88 % of the owner's time. The feed with new jobs and cancellations, leases and commits got the rest, so the owner's view of the jobs was 12 s old while it went on ordering starts.

Change: PlanPacer. The next plan begins at the earliest five times the length of the last one after its beginning, 500 ms at most. A histogram tells how long plans take.

Ruled out, by the processor time of the owner's parts: reading the feed (20 ms of a second), reports (100 ms), logging (20 ms); by the logs: orders that wait in queues are dropped after 1 s.

--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -25,9 +25,8 @@
 
 constexpr Duration kTickInterval = 100ms;
 constexpr int kTicksPerGaugeUpdate = 10;
-// Planning visits every open job. In a surge an owner of 85 executors receives a thousand ended
-// runs per second; those within this interval are handled by one plan. Short compared to tasks that
-// take half a second.
+// In a surge an owner of 85 executors receives a thousand ended runs per second; those within this
+// interval are handled by one plan. Short compared to tasks that take half a second.
 constexpr Duration kMinPlanInterval = 8ms;
 // The new executor of a moved instance registers 1.5 s after the order. With this time on top, the
 // next order follows safely after the 3 s that orders of two holders have to be apart.
@@ -68,8 +67,8 @@
       m_pool(std::move(pool)),
       m_ownership(std::move(ownership)),
       m_directory(context),
-      m_jobs(
-          MakeTableFeed(context.platform.rows, JobsTable(m_pool), JobPartitions(), kFollowWait)) {
+      m_jobs(MakeTableFeed(context.platform.rows, JobsTable(m_pool), JobPartitions(), kFollowWait)),
+      m_pacer(kMinPlanInterval) {
   m_scheduler = std::make_unique<PoolScheduler>(
       scheduling::SchedulerOptions{
           .epoch = m_ownership.epoch,
@@ -570,20 +569,26 @@
 
 void PoolOwner::Plan() {
   const TimePoint now = m_context.timers.Now();
-  const Duration since_last = now - m_planned_at;
-  if (since_last < kMinPlanInterval) {
+  const Duration until_next = m_pacer.TimeUntilNext(now);
+  if (until_next > Duration::zero()) {
     if (std::exchange(m_plan_waits, true)) return;
-    m_next_plan = m_context.timers.SubscribeOnce(kMinPlanInterval - since_last, [this] {
+    m_next_plan = m_context.timers.SubscribeOnce(until_next, [this] {
       m_plan_waits = false;
       ProcessUpdates();
     });
     return;
   }
-  m_planned_at = now;
   Orders orders = m_scheduler->Plan(now, this);
   Send(orders.starts);
   Send(orders.stops);
   Send(orders.paces);
+  const TimePoint ended = m_context.timers.Now();
+  m_pacer.OnPlanned(now, ended);
+  m_context.metrics
+      .LatencyHistogram("citronferry_fleet_plan_seconds",
+                        "Time that an owner takes to plan its pool and to queue the orders.",
+                        {{"pool", m_pool.str()}})
+      .Observe(ToSeconds(ended - now));
   const Duration wait = m_scheduler->wait_for_link();
   if (wait <= Duration::zero()) return;
   m_plan_for_link = m_context.timers.SubscribeOnce(std::max(wait, kMinPlanInterval), [this] {
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "decisions/scheduling/plan_pacer.h"
 #include "decisions/scheduling/pool_scheduler.h"
 #include "fleet/change_feed.h"
 #include "fleet/fleet_context.h"
@@ -142,7 +143,7 @@
   ChangeFeed<RowChanges> m_jobs;
   Mailbox<scheduling::TicketRequest> m_ticket_requests;  // Holds one at most.
   bool m_asking_adviser = false;
-  TimePoint m_planned_at{};
+  scheduling::PlanPacer m_pacer;
   Subscription m_next_plan;
   bool m_plan_waits = false;
   Subscription m_plan_for_link;  // When tasks have waited for the link.
