Start no tasks on a view of the jobs that is too old

Seen: tasks of cancelled jobs start over 4 s after the acknowledgement (UNASKED), ordered by owners that had read the jobs and cancellations up to 12 s before.

Cause: a start asked for the ownership, the lease, the report and the age of the order, and not for the age of what the owner knows of the job. An owner whose commits succeed went on ordering however far behind its feed was.

Change: an owner places nothing, and sends no start that it has placed before, while its view of the jobs is older than cancel_ms less 1 s, the longest transit of a start, but not less than the 1.5 s that the view of an idle owner reaches. The view counts from the time at which the commit that the feed has passed was sent; it counted from its response, which a busy owner handles late. The log tells when starts pause and resume, with the age.

Evidence: ExecutorLinkTest.NothingIsStartedOnAnOldViewOfTheJobs; without the check a task is ordered 2.6 s after the last response of the feed, until the test ends.

--- a/src/cli/internal/fleet_command.cc
+++ b/src/cli/internal/fleet_command.cc
@@ -34,6 +34,9 @@
 
 fleet::FleetOptions MakeOptions(const platform::NodeSettings& settings,
                                 scheduling::RunTimeUse run_times) {
+  const Duration cancellation_bound = settings.cancellation_bound > Duration::zero()
+                                          ? settings.cancellation_bound
+                                          : fleet::FleetOptions().cancellation_bound;
   return {.name = settings.name,
           .incarnation = node::RandomToken(),
           .client_listener = settings.client_listener,
@@ -48,6 +51,7 @@
           .strict_revocation = settings.strict_revocation,
           .revocation_bound = settings.revocation_bound,
           .configuration_bound = settings.configuration_bound,
+          .cancellation_bound = cancellation_bound,
           .quota_burst = settings.quota_burst,
           .run_times = run_times,
           .executor_lease = std::min(kExecutorLease, settings.max_executor_lease),
--- a/src/decisions/scheduling/pool_scheduler.h
+++ b/src/decisions/scheduling/pool_scheduler.h
@@ -11,6 +11,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -206,6 +207,8 @@
   /// @param cost optional; without it, orders cost nothing.
   /// @return the orders to send now.
   Orders Plan(TimePoint now, const StartCost* cost = nullptr);
+  /// @return the orders to send now that do not place tasks.
+  Orders TakeOrders() { return std::exchange(m_orders, {}); }
   /// @return how long tasks wait for the owner's link; zero if they do not.
   Duration wait_for_link() const { return m_wait_for_link; }
 
--- a/src/fleet/fleet_context.h
+++ b/src/fleet/fleet_context.h
@@ -45,7 +45,9 @@
   bool strict_revocation = false;  ///< Withdrawn API keys expire also on isolated entries.
   Duration revocation_bound{};     ///< From the withdrawal of an API key to its last success.
   Duration configuration_bound{};  ///< Time in which a configuration takes effect everywhere.
-  double quota_burst = 0.1;        ///< Share of a team's quota that may be exceeded.
+  /// From the acknowledgement of a job's cancellation to the last start of one of its tasks.
+  Duration cancellation_bound = 3s;
+  double quota_burst = 0.1;  ///< Share of a team's quota that may be exceeded.
   /// Which run times decisions on pools are based on.
   scheduling::RunTimeUse run_times = scheduling::RunTimeUse::kLearned;
   Duration executor_lease = 5s;  ///< Lease of executors; see docs/platform.md, "Ownership".
--- a/src/fleet/pool/internal/executor_link.cc
+++ b/src/fleet/pool/internal/executor_link.cc
@@ -242,6 +242,7 @@
   const ExecutorState* state = m_owner.scheduler().FindExecutor(m_id);
   if (!state || !m_owner.scheduler().IsWanted(order)) return withdrawn("not wanted any more");
   if (!m_owner.may_order()) return withdrawn("the owner may not order");
+  if (!m_owner.may_start()) return withdrawn("the owner's view of the jobs is too old");
   if (!m_session.MakeStart(*state, now))
     return withdrawn("the executor has no lease to start under");
   if (now > order.send_before.value_or(now)) return withdrawn("the report it relies on is too old");
--- a/src/fleet/pool/internal/jobs_view.h
+++ b/src/fleet/pool/internal/jobs_view.h
@@ -19,7 +19,9 @@
   /// Records a commit of the owner.
   /// @param version of the commit.
   /// @param clock_ms the store's clock in the response; 0 if it is not known.
-  void OnCommitted(int64_t version, int64_t clock_ms, TimePoint now);
+  /// @param sent_at when the commit was sent. All changes that were acknowledged before then have a
+  ///   lower version.
+  void OnCommitted(int64_t version, int64_t clock_ms, TimePoint sent_at);
   /// Records that the feed of the jobs has been read up to a version.
   void OnRead(int64_t version);
 
--- a/src/fleet/pool/internal/pool_owner.cc
+++ b/src/fleet/pool/internal/pool_owner.cc
@@ -51,6 +51,11 @@
 // The rest is for leases, reports, commits and the store's feeds, which must not wait behind
 // starts.
 constexpr double kStartShareOfLink = 0.4;
+// Longest time between the last check of a start and its arrival: a relay drops what takes longer.
+constexpr Duration kMaxStartTransit = 1s;
+// Age that the view of the jobs of an owner reaches that keeps up and has no new jobs: it commits
+// every 600 ms and waits up to 700 ms for a change.
+constexpr Duration kUsualJobsAge = 1500ms;
 // Sizes of a start without the payload: a request with its header, and a part of a message.
 constexpr int64_t kDirectStartBytes = 400;
 constexpr int64_t kRelayedStartBytes = 120;
@@ -96,6 +101,13 @@
   return !m_ended.requested() && m_context.timers.Now() < m_committer->valid_until();
 }
 
+bool PoolOwner::may_start() const {
+  const Duration longest =
+      std::max(m_context.options.cancellation_bound - kMaxStartTransit, kUsualJobsAge);
+  const TimePoint read_up_to = m_committer->jobs_view().complete_at();
+  return may_order() && m_context.timers.Now() - read_up_to <= longest;
+}
+
 bool PoolOwner::HasSettled(const Instance& instance) const {
   if (instance.executor.empty()) {
     return m_directory.TimeInPool(instance.id, m_pool) >= m_context.options.holder_change_interval;
@@ -578,7 +590,14 @@
     });
     return;
   }
-  Orders orders = m_scheduler->Plan(now, this);
+  const bool paused = !may_start();
+  if (m_loaded && paused != std::exchange(m_starts_paused, paused)) {
+    const Duration jobs_age = now - m_committer->jobs_view().complete_at();
+    Log(LogLevel::kWarning, paused ? "starts_paused" : "starts_resumed",
+        {{"pool", m_pool.view()}, {"jobs_age_ms", ToMilliseconds(jobs_age)}});
+  }
+  // Stops do not rely on the view of the jobs.
+  Orders orders = paused ? m_scheduler->TakeOrders() : m_scheduler->Plan(now, this);
   Send(orders.starts);
   Send(orders.stops);
   Send(orders.paces);
--- a/src/fleet/pool/internal/pool_owner.h
+++ b/src/fleet/pool/internal/pool_owner.h
@@ -61,6 +61,9 @@
   int64_t newest_version() const { return m_committer->newest_version(); }
   /// @return whether the ownership is valid, so that orders may be sent and leases extended.
   bool may_order() const;
+  /// @return whether tasks may be started: orders may be sent, and the owner has read the
+  ///   cancellations that it must not miss, see FleetOptions::cancellation_bound.
+  bool may_start() const;
   /// @return the signal that ends the tasks of the owner.
   StopSignal& ended() { return m_ended; }
   /// Starts a task that ends before the owner does.
@@ -144,6 +147,7 @@
   Mailbox<scheduling::TicketRequest> m_ticket_requests;  // Holds one at most.
   bool m_asking_adviser = false;
   scheduling::PlanPacer m_pacer;
+  bool m_starts_paused = false;
   Subscription m_next_plan;
   bool m_plan_waits = false;
   Subscription m_plan_for_link;  // When tasks have waited for the link.
--- a/src/fleet/pool/internal/state_committer.cc
+++ b/src/fleet/pool/internal/state_committer.cc
@@ -242,7 +242,7 @@
     if (applied) {
       m_version = result.version;
       m_valid_until = sent_at + kOwnerLease;
-      m_jobs_view.OnCommitted(result.version, result.clock_ms, m_context.timers.Now());
+      m_jobs_view.OnCommitted(result.version, result.clock_ms, sent_at);
     } else if (result.outcome == TransactionOutcome::kConflict) {
       const auto owner = result.rows.empty()
                              ? RetVal<OwnerRecord>(Ret(ErrorCode::kNotFound, "no owner row"))
--- a/src/fleet/tests/executor_link_test.cc
+++ b/src/fleet/tests/executor_link_test.cc
@@ -212,6 +212,34 @@
   EXPECT_LE(m_scripted.starts, 10);
 }
 
+// Guards against tasks of a cancelled job that are started (UNASKED, kth-windhoek-grown with bursts
+// of all queues): the owner's feed of jobs and cancellations stands still, and it orders all the
+// same.
+TEST_F(ExecutorLinkTest, NothingIsStartedOnAnOldViewOfTheJobs) {
+  m_options.cancellation_bound = 2500ms;
+  const Duration longest_age = 1500ms;
+  const scheduling::JobDefinition job{
+      .id = JobId("a"), .queue = QueueName("queue"), .payload = "work", .steps = {{}}};
+  m_rows.Apply({.puts = {{.key = JobKey(m_pool, job.id), .value = EncodeJob(job)}}});
+  m_rows.timers = m_timers.get();
+  m_scripted.results = {Reported(kIncarnation)};
+  // The task is ordered again and again.
+  m_scripted.start_answer = StartAnswer::kInsufficientCapacity;
+  std::optional<TimePoint> stalled_at;
+  TimePoint last_start{};
+  m_scripted.on_start = [&] { last_start = m_timers->Now(); };
+  ASSERT_TRUE(RunOwnerUntil([&] {
+    if (!stalled_at && m_scripted.starts > 0) {
+      m_rows.feed_stalled = true;
+      stalled_at = m_timers->Now();
+    }
+    return stalled_at && m_timers->Now() - *stalled_at > 2 * longest_age;
+  }));
+  // What a commit that was sent before the last response proves is older than that response.
+  EXPECT_LE(last_start - *stalled_at, longest_age);
+  m_rows.feed_stalled = false;
+}
+
 // Guards against planning without bound what cannot be sent (LOST, TWICE in bursts): no connection
 // to the executor is identified, and each planning sent all of its tasks again.
 TEST_F(ExecutorLinkTest, StartsThatAreNotSentAreNotRepeatedWithoutBound) {
--- a/src/platform/internal/settings.cc
+++ b/src/platform/internal/settings.cc
@@ -144,6 +144,7 @@
   settings.strict_revocation = reader.Boolean("bounds.strictRevoke");
   settings.revocation_bound = reader.OptionalMilliseconds("bounds.revokeMs");
   settings.configuration_bound = reader.OptionalMilliseconds("bounds.configApplyMs");
+  settings.cancellation_bound = reader.OptionalMilliseconds("bounds.cancel_ms");
   settings.quota_burst = reader.NotNegative("bounds.quotaBurst", kDefaultQuotaBurst);
   settings.relay_listener = {.address = settings.ip, .port = reader.Port("portRange[0]")};
   if (Ret ret = reader.ret(); !ret) return ret;
--- a/src/platform/settings.h
+++ b/src/platform/settings.h
@@ -38,6 +38,8 @@
   bool strict_revocation = false;     ///< Withdrawn API keys expire also on isolated entries.
   Duration revocation_bound{};        ///< From the withdrawal of a key to its last success.
   Duration configuration_bound{};     ///< Time in which a configuration takes effect everywhere.
+  /// From the acknowledgement of a cancellation to the last start of a task; 0 if not stated.
+  Duration cancellation_bound{};
   double quota_burst = 0;             ///< Share of a quota that may be exceeded.
   document::Endpoint relay_listener;  ///< Where other entries connect to use this one as a relay.
 };
--- a/src/platform/tests/platform_test.cc
+++ b/src/platform/tests/platform_test.cc
@@ -54,10 +54,12 @@
   ASSERT_TRUE(absent.ok());
   EXPECT_EQ(absent->memory_mb, 0);
   EXPECT_FALSE(absent->strict_revocation);
+  EXPECT_EQ(absent->cancellation_bound, 0s);
   std::string text(kSettings);
   text.replace(text.find("cores = 1"), 9, "cores = 1\nmemoryMb = 160\nmaxFds = 4100");
   text.replace(text.find("graceS = 6"), 10,
-               "graceS = 6\nstrictRevoke = true\nrevokeMs = 5000\nconfigApplyMs = 3000");
+               "graceS = 6\nstrictRevoke = true\nrevokeMs = 5000\nconfigApplyMs = 3000\n"
+               "cancel_ms = 4000");
   const auto present = ParseNodeSettings(text);
   ASSERT_TRUE(present.ok()) << present.ret().message();
   EXPECT_EQ(present->memory_mb, 160);
@@ -65,6 +67,7 @@
   EXPECT_TRUE(present->strict_revocation);
   EXPECT_EQ(present->revocation_bound, 5s);
   EXPECT_EQ(present->configuration_bound, 3s);
+  EXPECT_EQ(present->cancellation_bound, 4s);
   text.replace(text.find("strictRevoke = true"), 19, "strictRevoke = 1   ");
   EXPECT_FALSE(ParseNodeSettings(text).ok());
 }
